--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,63 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+#include "app/service.h"
+
+namespace {
+
+std::uint64_t fresh_seed() {
+  // Two runs must never share it: random bits, and the clocks in case those are poor.
+  std::random_device device;
+  std::uint64_t seed = (static_cast<std::uint64_t>(device()) << 32U) ^ device();
+  seed ^= static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()) *
+          0x9e3779b97f4a7c15ULL;
+  return seed;
+}
+
+void set_logging(const std::string& option) {
+  auto logger = spdlog::stderr_logger_st("puffinhaven");
+  spdlog::set_default_logger(logger);
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  const char* variable = std::getenv("LOG_LEVEL");
+  const std::string level = !option.empty() ? option : variable ? variable : "info";
+  spdlog::set_level(level == "error"   ? spdlog::level::err
+                    : level == "debug" ? spdlog::level::debug
+                                       : spdlog::level::info);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"puffinhaven, a cluster scheduler: one controller"};
+  std::string config, options_path;
+  bool check = false;
+  app.add_option("--config", config, "Settings file (TOML) from the platform")->required();
+  app.add_option("--options", options_path, "Operators' own options (TOML)")
+      ->envname("PUFFINHAVEN_OPTIONS");
+  app.add_flag("--check", check, "Check the settings and exit");
+  app.set_version_flag("--version", std::string("puffinhaven ") + PUFFINHAVEN_VERSION);
+  CLI11_PARSE(app, argc, argv);
+  try {
+    const auto settings = puffinhaven::app::load_settings(config);
+    const auto options = options_path.empty() ? puffinhaven::app::Options{}
+                                              : puffinhaven::app::load_options(options_path);
+    if (check) {
+      std::cout << "settings are valid\n";
+      return 0;
+    }
+    set_logging(options.log_level);
+    asio::io_context io(1);
+    puffinhaven::app::Service service(io, settings, options, fresh_seed());
+    service.run();
+  } catch (const std::exception& e) {
+    std::cerr << "puffinhaven: " << e.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/app/service.cpp
@@ -0,0 +1,109 @@
+#include "app/service.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <chrono>
+
+#include "net/address.h"
+#include "net/limits.h"
+
+namespace puffinhaven::app {
+
+namespace {
+constexpr core::Ms kStatusEveryMs = 10'000;  // between lines about the state of things, at info
+}
+
+Service::Service(asio::io_context& io, const NodeSettings& settings, const Options& options,
+                 std::uint64_t seed)
+    : io_(io),
+      settings_(settings),
+      options_(options),
+      controller_(settings.core, seed),
+      client_(io),
+      timer_(io) {
+  const int most = options_.max_connections > 0
+                       ? options_.max_connections
+                       : std::max(16, settings_.fd_limit - net::limits::kReservedSockets);
+  server_ = std::make_unique<net::HttpServer>(
+      io, *net::parse_endpoint(settings_.listen), most,
+      [this](std::uint64_t id, net::HttpServer::Request r) {
+        controller_.on_request(steady_ms(), id,
+                               {std::move(r.method), std::move(r.path), std::move(r.body)});
+        carry_out();
+      });
+  std::map<std::string, std::string> addresses;
+  for (const auto& p : settings_.core.peers) addresses[p.name] = p.address;
+  peers_ = std::make_unique<net::PeerLinks>(io, *net::parse_endpoint(settings_.peer_listen),
+                                            addresses, [this](std::string frame) {
+                                              controller_.on_peer(steady_ms(), frame);
+                                              carry_out();
+                                            });
+}
+
+core::Ms Service::steady_ms() {
+  // Never 0: the core uses that for "not yet".
+  return 1 + std::chrono::duration_cast<std::chrono::milliseconds>(
+                 std::chrono::steady_clock::now().time_since_epoch())
+                 .count();
+}
+
+core::Ms Service::wall_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+void Service::run() {
+  spdlog::info("{} in {} listens on {}", settings_.core.name, settings_.core.zone,
+               settings_.listen);
+  controller_.start(steady_ms(), wall_ms());
+  carry_out();
+  tick();
+  io_.run();
+}
+
+void Service::tick() {
+  timer_.expires_after(std::chrono::milliseconds(options_.tick_ms));
+  timer_.async_wait([this](std::error_code error) {
+    if (error) return;
+    const core::Ms now = steady_ms();
+    controller_.tick(now, wall_ms());
+    carry_out();
+    if (now >= status_at_) {
+      status_at_ = now + kStatusEveryMs;
+      spdlog::info("{}, connections {}", controller_.status_line(now), server_->connections());
+    }
+    tick();
+  });
+}
+
+void Service::carry_out() {
+  if (carrying_) return;
+  carrying_ = true;
+  for (;;) {
+    core::Output out = controller_.take_output();
+    if (out.calls.empty() && out.answers.empty() && out.peers.empty() && out.logs.empty()) break;
+    for (auto& line : out.logs) {
+      spdlog::log(line.level == core::LogLevel::error  ? spdlog::level::err
+                  : line.level == core::LogLevel::info ? spdlog::level::info
+                                                       : spdlog::level::debug,
+                  "{}", line.text);
+    }
+    for (auto& a : out.answers) server_->answer(a.request, a.status, a.body, a.retry_after_s);
+    for (auto& c : out.calls) {
+      const std::string& address = c.target == core::Target::state   ? settings_.state
+                                   : c.target == core::Target::cloud ? settings_.cloud
+                                                                     : c.address;
+      client_.send({address, std::move(c.method), std::move(c.path), std::move(c.body), c.timeout},
+                   [this, id = c.id](int status, std::string body) {
+                     controller_.on_outcome(steady_ms(), id, {status, std::move(body)});
+                     carry_out();
+                   });
+    }
+    for (auto& p : out.peers) peers_->send(p.to, p.bytes);
+  }
+  carrying_ = false;
+}
+
+}  // namespace puffinhaven::app
--- /dev/null
+++ b/src/app/service.h
@@ -0,0 +1,40 @@
+// Joins the core to the network: carries out what the core asks for and feeds it what comes.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+
+#include "app/settings.h"
+#include "core/controller.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/peer_link.h"
+
+namespace puffinhaven::app {
+
+class Service {
+ public:
+  Service(asio::io_context& io, const NodeSettings& settings, const Options& options,
+          std::uint64_t seed);
+  void run();
+
+ private:
+  static core::Ms steady_ms();
+  static core::Ms wall_ms();
+  void tick();
+  void carry_out();
+
+  asio::io_context& io_;
+  NodeSettings settings_;
+  Options options_;
+  core::Controller controller_;
+  net::HttpClient client_;
+  std::unique_ptr<net::HttpServer> server_;
+  std::unique_ptr<net::PeerLinks> peers_;
+  asio::steady_timer timer_;
+  core::Ms status_at_ = 0;
+  bool carrying_ = false;
+};
+
+}  // namespace puffinhaven::app
--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,155 @@
+#include "app/settings.h"
+
+#include <cmath>
+#include <set>
+#include <stdexcept>
+
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+#include "net/address.h"
+
+namespace puffinhaven::app {
+
+namespace {
+
+[[noreturn]] void bad(const std::string& what) { throw std::runtime_error(what); }
+
+const toml::table& table(const toml::table& in, const std::string& name) {
+  const auto* t = in.get_as<toml::table>(name);
+  if (!t) bad("[" + name + "] is missing");
+  return *t;
+}
+
+std::string text(const toml::table& in, const std::string& name, const std::string& where) {
+  const auto v = in[name].value_exact<std::string>();
+  if (!v || v->empty()) bad(where + name + " is missing or not a string");
+  return *v;
+}
+
+double number(const toml::table& in, const std::string& name, const std::string& where,
+              double least) {
+  const auto v = in[name].value<double>();
+  if (!v || !std::isfinite(*v)) bad(where + name + " is missing or not a number");
+  if (*v < least) bad(where + name + " is too small");
+  return *v;
+}
+
+double optional_number(const toml::table& in, const std::string& name, const std::string& where) {
+  return in.contains(name) ? number(in, name, where, 0.0) : 0.0;
+}
+
+std::string address(const toml::table& in, const std::string& name, const std::string& where) {
+  std::string a = text(in, name, where);
+  if (!net::parse_endpoint(a)) bad(where + name + " is not an address of the form 10.0.0.1:8080");
+  return a;
+}
+
+template <typename F>
+void each(const toml::table& in, const std::string& name, F&& take) {
+  const auto* list = in.get_as<toml::array>(name);
+  if (!list) {
+    if (in.contains(name)) bad(name + " is not a list of tables");
+    return;
+  }
+  for (const auto& node : *list) {
+    const auto* t = node.as_table();
+    if (!t) bad(name + " is not a list of tables");
+    take(*t);
+  }
+}
+
+toml::table parse(const std::string& path) {
+  try {
+    return toml::parse_file(path);
+  } catch (const toml::parse_error& e) {
+    bad(path + ": " + std::string(e.description()) + " (line " +
+        std::to_string(e.source().begin.line) + ")");
+  }
+}
+
+}  // namespace
+
+NodeSettings load_settings(const std::string& path) {
+  const toml::table root = parse(path);
+  NodeSettings out;
+  core::Settings& c = out.core;
+  c.name = text(root, "host_name", "");
+  c.zone = text(root, "zone", "");
+  out.listen = address(root, "bind", "");
+  out.peer_listen = address(root, "peer_listen", "");
+  std::set<std::string> names{c.name};
+  each(root, "known", [&](const toml::table& t) {
+    core::Peer p;
+    p.name = text(t, "host_name", "known.");
+    p.zone = text(t, "zone", "known.");
+    p.address = address(t, "peer_addr", "known.");
+    if (!names.insert(p.name).second) bad("known: " + p.name + " is named twice");
+    c.peers.push_back(std::move(p));
+  });
+  const auto& external = table(root, "external");
+  out.cloud = address(external, "cloud", "external.");
+  out.state = address(external, "state", "external.");
+  const auto& s = table(root, "settings");
+  c.controllers = static_cast<int>(number(s, "size", "settings.", 1));
+  each(s, "teams", [&](const toml::table& t) {
+    core::Team team;
+    team.name = text(t, "name", "settings.teams.");
+    team.cpus = optional_number(t, "cpus", "settings.teams.");
+    team.cpus_max = optional_number(t, "cpus_max", "settings.teams.");
+    team.gpus = optional_number(t, "gpus", "settings.teams.");
+    team.gpus_max = optional_number(t, "gpus_max", "settings.teams.");
+    c.teams.push_back(std::move(team));
+  });
+  each(s, "objectives", [&](const toml::table& t) {
+    core::Objective o;
+    o.kind = text(t, "kind", "settings.objectives.");
+    if (t.contains("class")) o.job_class = text(t, "class", "settings.objectives.");
+    o.share = optional_number(t, "share", "settings.objectives.");
+    o.times = optional_number(t, "times", "settings.objectives.");
+    o.within_s = optional_number(t, "within_s", "settings.objectives.");
+    c.objectives.push_back(std::move(o));
+  });
+  const auto& workers = table(s, "workers");
+  c.report_s = number(workers, "report_s", "settings.workers.", 0.01);
+  c.lease_s = number(workers, "lease_s", "settings.workers.", 0.1);
+  c.gang_wait_s = number(workers, "gang_wait_s", "settings.workers.", 0);
+  c.gang_peer_s = number(workers, "gang_peer_s", "settings.workers.", 0);
+  c.cancel_s = number(workers, "cancel_s", "settings.workers.", 0);
+  const auto& state = table(s, "state");
+  c.state_rps = number(state, "rps", "settings.state.", 1);
+  c.state_write_rps = number(state, "write_rps", "settings.state.", 1);
+  c.value_kb = number(state, "value_kb", "settings.state.", 4);
+  c.txn_ops = static_cast<int>(number(state, "txn_ops", "settings.state.", 4));
+  const auto& cloud = table(s, "cloud");
+  c.cloud_rps = number(cloud, "rps", "settings.cloud.", 0.1);
+  c.list_lag_s = number(cloud, "list_lag_s", "settings.cloud.", 0);
+  const auto& limits = table(s, "machine_limits");
+  out.cpu_share = number(limits, "cpu_share", "settings.machine_limits.", 0.001);
+  out.ram_mb = number(limits, "ram_mb", "settings.machine_limits.", 1);
+  out.fd_limit = static_cast<int>(number(limits, "fd_limit", "settings.machine_limits.", 64));
+  return out;
+}
+
+Options load_options(const std::string& path) {
+  const toml::table root = parse(path);
+  Options out;
+  if (root.contains("log_level")) {
+    out.log_level = text(root, "log_level", "");
+    if (out.log_level != "error" && out.log_level != "info" && out.log_level != "debug")
+      bad("log_level must be error, info or debug");
+  }
+  if (root.contains("tick_ms")) {
+    out.tick_ms = static_cast<int>(number(root, "tick_ms", "", 1));
+    if (out.tick_ms > 1000) bad("tick_ms is too large");
+  }
+  if (root.contains("max_connections"))
+    out.max_connections = static_cast<int>(number(root, "max_connections", "", 1));
+  for (const auto& [key, value] : root) {
+    if (key != "log_level" && key != "tick_ms" && key != "max_connections")
+      bad("unknown option " + std::string(key.str()));
+  }
+  return out;
+}
+
+}  // namespace puffinhaven::app
--- /dev/null
+++ b/src/app/settings.h
@@ -0,0 +1,27 @@
+// The platform's settings file and the operators' own options.
+#pragma once
+
+#include <string>
+
+#include "core/types.h"
+
+namespace puffinhaven::app {
+
+struct NodeSettings {
+  core::Settings core;
+  std::string listen, peer_listen, cloud, state;
+  double cpu_share = 0, ram_mb = 0;
+  int fd_limit = 0;
+};
+
+// Throws std::runtime_error with one clear line.
+NodeSettings load_settings(const std::string& path);
+
+struct Options {
+  std::string log_level;  // empty: LOG_LEVEL decides
+  int tick_ms = 20;
+  int max_connections = 0;  // 0: from the platform's limit on sockets
+};
+Options load_options(const std::string& path);
+
+}  // namespace puffinhaven::app
--- /dev/null
+++ b/src/core/constants.h
@@ -0,0 +1,143 @@
+// Every constant of the scheduler, each with its unit and the reason for its value.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace puffinhaven::core::constants {
+
+// ---- placement (docs/design.md) ----
+// Machines sampled per task. The paper's default.
+constexpr int kSampledMachines = 2;
+// Seconds in which an overrunning task is counted as ending; the design's starting value.
+constexpr double kOverrunAllowanceS = 10.0;
+// Tasks placed in one scheduling pass; bounds the time of a pass on a small processor share.
+constexpr int kPlacementsPerPass = 256;
+// Milliseconds between scheduling passes at most, for what becomes possible by time alone.
+constexpr std::int64_t kIdlePassMs = 200;
+// Milliseconds that a range must have waited unstarted before another part may take from it: its
+// owner, which sees it first, gets the first try.
+constexpr std::int64_t kTakeOverAfterMs = 400;
+// Milliseconds for which a machine that refused a start for lack of room is passed over.
+constexpr std::int64_t kNoRoomPauseMs = 1500;
+// Report intervals without a report after which a machine gets nothing new; reports come at up to
+// 1.25 intervals, so this allows one to be lost.
+constexpr double kSilentIntervals = 2.6;
+// Tasks of one range record; the bitmap then takes 2 KiB of the value as hexadecimal digits.
+constexpr std::uint32_t kTasksPerRange = 8192;
+// Bytes of a range record that a placement takes at most ("12345,12," and its share of a group).
+constexpr std::size_t kBytesPerPlacement = 20;
+// Bytes of a range record besides placements: owner, bounds, bitmap.
+constexpr std::size_t kRangeOverheadBytes = 2600;
+
+// ---- membership ----
+// Life of a controller's hold, milliseconds. Longer than a restart (about 3 s) so that a crash
+// alone moves no machines, shorter than any worker lease.
+constexpr std::int64_t kHoldMs = 5000;
+// Milliseconds between extensions of the hold: three may fail before it ends.
+constexpr std::int64_t kExtendEveryMs = 1200;
+// Milliseconds that a member's hold must have been gone before others remove it.
+constexpr std::int64_t kRemoveAfterMs = 400;
+// Further milliseconds for each live controller before us in order, so that one of them writes.
+constexpr std::int64_t kRemoveStaggerMs = 300;
+// Bits of a token below the epoch: fences raised per machine within one epoch.
+constexpr int kFenceBits = 24;
+
+// ---- leases ----
+// Relative drift of steady clocks (PROTOCOL: 0.05%), doubled for both ends being off.
+constexpr double kClockDrift = 0.001;
+// Milliseconds added to a lease before it counts as run out: timers fire late by a few.
+constexpr std::int64_t kLeaseMarginMs = 250;
+
+// ---- state service ----
+// Milliseconds until an unanswered request counts as such; answers take 10 ms, rarely hundreds.
+constexpr std::int64_t kStateTimeoutMs = 2000;
+// Milliseconds that a watch is left open by the service.
+constexpr std::int64_t kWatchMs = 10000;
+// Milliseconds beyond that after which a watch counts as lost.
+constexpr std::int64_t kWatchGraceMs = 2500;
+// Share of the service's request rate that all controllers together plan to use.
+constexpr double kRateShare = 0.85;
+// Of that, the shares for reopening watches and for barrier reads; transactions get the rest.
+constexpr double kWatchRateShare = 0.30;
+constexpr double kBarrierRateShare = 0.25;
+// Transactions under way at once: one slow answer must not hold up everything.
+constexpr int kTransactionsInFlight = 3;
+// Bytes of one transaction's body (limit 64 KiB), with room for its frame.
+constexpr std::size_t kTransactionBytes = 56 * 1024;
+// Conditions per put allowed in a transaction (PROTOCOL).
+constexpr std::size_t kGuardsPerWrite = 4;
+// Milliseconds between probes while the service does not answer.
+constexpr std::int64_t kProbeEveryMs = 400;
+// Milliseconds to wait after a 429.
+constexpr std::int64_t kThrottledPauseMs = 250;
+// Milliseconds without any answer after which the service counts as not answering.
+constexpr std::int64_t kStateSilentMs = 3000;
+// Items per page when reading prefixes (limit 1,000 and 512 KiB).
+constexpr std::uint32_t kPageItems = 250;
+// Final states kept in memory; each takes about 100 bytes, older ones are read again.
+constexpr std::size_t kOverCached = 20'000;
+
+// ---- users ----
+// Requests of users that may wait for the state service at once; beyond it they are shed.
+constexpr std::size_t kWaitingRequests = 400;
+// Live jobs held; beyond it submissions are refused until some end (memory).
+constexpr std::size_t kLiveJobs = 4000;
+// Milliseconds after which a waiting request is given up with 503 (users wait 2 s for polls and
+// 5 s for submissions; an early no lets them come back).
+constexpr std::int64_t kPollPatienceMs = 1500;
+constexpr std::int64_t kSubmitPatienceMs = 2500;
+// Seconds named in Retry-After.
+constexpr int kRetryAfterS = 1;
+constexpr int kRetryAfterOutageS = 2;
+
+// ---- workers ----
+// Milliseconds until a direct command counts as unanswered. Short, since the token is then raised
+// and the command sent again.
+constexpr std::int64_t kOrdersTimeoutMs = 1500;
+// Commands in one message to a worker; keeps any body far below 64 KiB.
+constexpr std::size_t kCommandsPerMessage = 200;
+// Milliseconds between direct messages to a machine that does not answer them.
+constexpr std::int64_t kOrdersRetryMs = 1000;
+
+// ---- machines ----
+// Jobs whose tasks must have failed on a machine before it counts as sick.
+constexpr std::size_t kSickJobs = 2;
+// Machines on which tasks of a job must have failed before the job counts as faulty itself.
+constexpr std::size_t kFaultyJobMachines = 2;
+// Milliseconds after which errors are forgotten.
+constexpr std::int64_t kErrorMemoryMs = 180'000;
+// Milliseconds a failing job waits at first; doubles up to the most.
+constexpr std::int64_t kJobBackoffMs = 1000;
+constexpr std::int64_t kJobBackoffMostMs = 30'000;
+
+// ---- fleet ----
+// Milliseconds between machine lists.
+constexpr std::int64_t kListEveryMs = 2000;
+// Milliseconds between catalog reads.
+constexpr std::int64_t kCatalogEveryMs = 60'000;
+// Milliseconds until a cloud request counts as unanswered.
+constexpr std::int64_t kCloudTimeoutMs = 8000;
+// Milliseconds between decisions about the size of the fleet.
+constexpr std::int64_t kSizeEveryMs = 1000;
+// Milliseconds for which a refused kind of machine is not asked for again.
+constexpr std::int64_t kRefusedPauseMs = 15'000;
+// Share of the demand held beyond it, so that a burst finds room while others boot.
+constexpr double kHeadroom = 0.5;
+// Whole machines held free beyond the demand.
+constexpr double kSpareMachines = 2.0;
+// Milliseconds for which the fleet must have been larger than wanted before one is returned.
+constexpr std::int64_t kShrinkAfterMs = 300'000;
+// Nominal boot times after which a machine that is not up counts as stuck, and seconds added.
+constexpr double kStuckBoots = 4.0;
+constexpr double kStuckBootS = 30.0;
+// Machines rented in one request.
+constexpr std::uint32_t kRentAtOnce = 10;
+// Milliseconds that the record of a machine that is gone is kept beyond what old lists may show.
+constexpr std::int64_t kGoneKeptMs = 60'000;
+
+// ---- peers ----
+// Milliseconds between hints to the other controllers.
+constexpr std::int64_t kHintEveryMs = 500;
+
+}  // namespace puffinhaven::core::constants
--- /dev/null
+++ b/src/core/controller.cpp
@@ -0,0 +1,320 @@
+#include "core/controller.h"
+
+#include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+
+#include "core/constants.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+Controller::Controller(Settings settings, std::uint64_t seed)
+    : settings_(std::move(settings)),
+      random_(seed),
+      store_(
+          settings_,
+          [this](Target t, std::string a, std::string m, std::string p, std::string b, Ms timeout,
+                 OutcomeHandler done) {
+            call(t, std::move(a), std::move(m), std::move(p), std::move(b), timeout,
+                 std::move(done));
+          },
+          [this](Ms now, const wire::StoredItem& item) { on_item(now, item); },
+          [this](LogLevel level, std::string text) { log(level, std::move(text)); }),
+      membership_(settings_),
+      fleet_(settings_) {
+  char name[20];
+  std::snprintf(name, sizeof name, "%016" PRIx64, seed);
+  incarnation_ = name;
+}
+
+void Controller::start(Ms now, Ms wall) {
+  wall_offset_ = wall - now;
+  store_.start(now);
+}
+
+void Controller::tick(Ms now, Ms wall) {
+  wall_offset_ = wall - now;
+  store_.tick(now);
+  keep_membership(now);
+  after_changes(now);
+  watch_machines(now);
+  keep_quotas(now);
+  if (now >= schedule_after_ + (dirty_ ? 0 : k::kIdlePassMs)) schedule(now);
+  finish_jobs(now);
+  keep_cloud(now);
+  tell_peers(now);
+}
+
+void Controller::on_request(Ms now, std::uint64_t request, const Request& r) {
+  const std::string path = r.path.substr(0, r.path.find('?'));
+  const bool get = r.method == "GET", post = r.method == "POST";
+  auto method_error = [&] { answer(request, 405, wire::error_body("method not allowed")); };
+  if (path == wire::kReportPath) {
+    post ? on_report(now, request, r.body) : method_error();
+  } else if (path == wire::kHealthPath) {
+    get ? on_health(now, request) : method_error();
+  } else if (path == wire::kJobsPath) {
+    post ? on_submit(now, request, r.body) : method_error();
+  } else if (path.starts_with(std::string(wire::kJobsPath) + "/")) {
+    std::string id = path.substr(std::string_view(wire::kJobsPath).size() + 1);
+    const bool cancel = id.ends_with(wire::kCancelSuffix);
+    if (cancel) id.resize(id.size() - std::string_view(wire::kCancelSuffix).size());
+    if (id.find('/') != std::string::npos) {
+      answer(request, 404, wire::error_body("no such path"));
+    } else if (cancel ? !post : !get) {
+      method_error();
+    } else if (!wire::valid_job_id(id)) {
+      answer(request, 404, wire::error_body("no such job"));
+    } else {
+      cancel ? on_cancel(now, request, id, 0) : on_poll(now, request, id);
+    }
+  } else {
+    answer(request, 404, wire::error_body("no such path"));
+  }
+}
+
+void Controller::on_outcome(Ms now, std::uint64_t id, const Outcome& outcome) {
+  auto it = handlers_.find(id);
+  if (it == handlers_.end()) return;
+  OutcomeHandler done = std::move(it->second);
+  handlers_.erase(it);
+  done(now, outcome);
+  after_changes(now);
+  if (dirty_ && now >= schedule_after_) schedule(now);
+}
+
+void Controller::call(Target target, std::string address, std::string method, std::string path,
+                      std::string body, Ms timeout, OutcomeHandler done) {
+  const std::uint64_t id = next_call_++;
+  handlers_.emplace(id, std::move(done));
+  out_.calls.push_back({id, target, std::move(address), std::move(method), std::move(path),
+                        std::move(body), timeout});
+}
+
+void Controller::answer(std::uint64_t request, int status, std::string body, int retry_after_s) {
+  out_.answers.push_back({request, status, std::move(body), retry_after_s});
+}
+
+void Controller::log(LogLevel level, std::string text) {
+  out_.logs.push_back({level, std::move(text)});
+}
+
+bool Controller::ready() const {
+  if (!store_.loaded() || !view_known_) return false;
+  auto it = replica_.view().live.find(settings_.name);
+  return it != replica_.view().live.end() && it->second == incarnation_;
+}
+
+const Team* Controller::team(const std::string& name) const {
+  for (const auto& t : settings_.teams)
+    if (t.name == name) return &t;
+  return nullptr;
+}
+
+std::string Controller::status_line(Ms now) const {
+  std::size_t placed = 0;
+  for (const auto& [id, m] : machines_) placed += replica_.placed_on(id).size();
+  return "epoch " + std::to_string(membership_.epoch()) + (ready() ? " ready" : " not ready") +
+         (store_.answering(now) ? "" : ", state silent") + ", jobs " +
+         std::to_string(replica_.jobs().size()) + ", machines " + std::to_string(machines_.size()) +
+         "/" + std::to_string(replica_.machines().size()) + ", placed " + std::to_string(placed) +
+         ", queued writes " + std::to_string(store_.queued());
+}
+
+// ---- changes ----
+
+void Controller::on_item(Ms now, const wire::StoredItem& item) {
+  if (!replica_.apply(item)) log(LogLevel::error, "unreadable record " + item.key);
+  // Each view is acted on by itself: two in one batch may take a machine away and give it back.
+  if (item.key == wire::kViewKey) on_view(now);
+}
+
+void Controller::after_changes(Ms now) {
+  replica_.take_view_changed();
+  for (const auto& id : replica_.take_changed_machines()) {
+    dirty_ = true;
+    auto it = machines_.find(id);
+    const auto* record = replica_.machine(id);
+    if (it == machines_.end() && record && ready() &&
+        membership_.machine_owner(id, record->zone) == settings_.name) {
+      Machine& m = machines_[id];
+      m.id = id;
+      m.address = record->address;
+      m.type = record->type;
+      m.zone = record->zone;
+      m.spot = record->spot;
+      m.owner_since = membership_.epoch();
+      m.session = record->session;
+      it = machines_.find(id);
+    }
+    if (it == machines_.end()) continue;
+    if (record && it->second.address.empty()) it->second.address = record->address;
+    reconcile(now, it->second);
+    kick(now, it->second);
+  }
+  for (const auto& id : replica_.take_changed_jobs()) {
+    dirty_ = true;
+    check_finish_.insert(id);
+  }
+}
+
+void Controller::on_view(Ms now) {
+  const auto& view = replica_.view();
+  if (view_known_ && view.epoch == known_epoch_) return;
+  const bool skipped = view.epoch != known_epoch_ + 1;
+  known_epoch_ = view.epoch;
+  view_known_ = true;
+  membership_.update(view);
+  store_.set_sharers(static_cast<int>(std::max<std::size_t>(1, view.live.size())));
+  std::string names;
+  for (const auto& n : membership_.live()) names += " " + n;
+  log(LogLevel::info, "view " + std::to_string(view.epoch) + ":" + names);
+  const bool member = ready() || (view.live.contains(settings_.name) &&
+                                  view.live.at(settings_.name) == incarnation_);
+  for (auto it = machines_.begin(); it != machines_.end();) {
+    const bool ours =
+        member && membership_.machine_owner(it->first, it->second.zone) == settings_.name;
+    if (!ours) {
+      it = machines_.erase(it);
+      continue;
+    }
+    if (skipped) {  // may have been another's in between
+      it->second.owner_since = view.epoch;
+      it->second.touched = false;
+      it->second.lease_known = false;
+    }
+    ++it;
+  }
+  if (member) {
+    for (const auto& [id, record] : replica_.machines()) {
+      if (machines_.contains(id) || membership_.machine_owner(id, record.zone) != settings_.name)
+        continue;
+      Machine& m = machines_[id];
+      m.id = id;
+      m.address = record.address;
+      m.type = record.type;
+      m.zone = record.zone;
+      m.spot = record.spot;
+      m.session = record.session;
+      m.owner_since = view.epoch;
+      m.heard_at = now;  // no verdict before it had time to reach us
+    }
+  }
+  for (const auto& [id, job] : replica_.jobs()) check_finish_.insert(id);  // its keeper may be new
+  dirty_ = true;
+}
+
+// ---- membership ----
+
+void Controller::keep_membership(Ms now) {
+  if (!store_.loaded()) return;
+  if (!ready()) {
+    join(now);
+    return;
+  }
+  acknowledge_view(now);
+  // Remove members whose hold has ended.
+  if (!store_.answering(now) || removing_) return;
+  int before_us = 0;
+  for (const auto& name : membership_.live()) {
+    if (name == settings_.name) break;
+    ++before_us;
+  }
+  for (const auto& [name, incarnation] : replica_.view().live) {
+    auto live = replica_.live().find(name);
+    const bool held = live != replica_.live().end() && live->second.incarnation == incarnation;
+    if (held || name == settings_.name) {
+      hold_missing_since_.erase(name);
+      continue;
+    }
+    auto [since, added] = hold_missing_since_.emplace(name, now);
+    if (now - since->second < k::kRemoveAfterMs + before_us * k::kRemoveStaggerMs) continue;
+    wire::ViewRecord next = replica_.view();
+    ++next.epoch;
+    next.live.erase(name);
+    // It may still be alive and answering workers; it stays listed until it comes back.
+    next.departed[name] = incarnation;
+    log(LogLevel::info, "removing " + name + " from the view");
+    removing_ = true;
+    hold_missing_since_.erase(name);
+    Transaction t;
+    t.guards = {view_guard()};
+    t.writes = {{std::string(wire::kViewKey), encode(next), std::nullopt}};
+    t.urgent = true;
+    t.done = [this](Ms at, Committed, const auto&) {
+      settle(at, [this](Ms) { removing_ = false; });
+    };
+    store_.submit(std::move(t));
+    return;
+  }
+}
+
+void Controller::join(Ms now) {
+  if (joining_ || !store_.hold_valid() || !store_.answering(now) || now < join_after_) return;
+  joining_ = true;
+  wire::ViewRecord next = replica_.view();
+  ++next.epoch;
+  // A process of our name is ours alone: the former incarnation has ended.
+  next.live[settings_.name] = incarnation_;
+  next.departed.erase(settings_.name);
+  wire::LiveRecord live;
+  live.incarnation = incarnation_;
+  live.epoch = next.epoch;
+  const std::string live_key = std::string(wire::kLivePrefix) + settings_.name;
+  Transaction t;
+  t.guards = {view_guard(), store_.guard(live_key)};
+  t.writes = {{std::string(wire::kViewKey), encode(next), std::nullopt},
+              {live_key, encode(live), store_.permit()}};
+  t.urgent = true;
+  t.done = [this](Ms at, Committed result, const auto&) {
+    join_after_ = at + k::kProbeEveryMs / 4;
+    if (result == Committed::yes) {
+      joining_ = false;
+      after_changes(at);
+      return;
+    }
+    settle(at, [this](Ms) { joining_ = false; });
+  };
+  store_.submit(std::move(t));
+}
+
+// Our own record tells the others that we act on this view, and so no longer answer workers that
+// it took from us; and it carries our hold, which may have ended.
+void Controller::acknowledge_view(Ms now) {
+  if (acknowledging_ || !store_.hold_valid() || !store_.answering(now)) return;
+  auto it = replica_.live().find(settings_.name);
+  if (it != replica_.live().end() && it->second.incarnation == incarnation_ &&
+      it->second.epoch == membership_.epoch())
+    return;
+  acknowledging_ = true;
+  wire::LiveRecord live;
+  live.incarnation = incarnation_;
+  live.epoch = membership_.epoch();
+  const std::string key = std::string(wire::kLivePrefix) + settings_.name;
+  Transaction t;
+  t.guards = {view_guard(), store_.guard(key)};
+  t.writes = {{key, encode(live), store_.permit()}};
+  t.done = [this](Ms at, Committed result, const auto&) {
+    if (result == Committed::yes) {
+      acknowledging_ = false;
+      return;
+    }
+    settle(at, [this](Ms) { acknowledging_ = false; });
+  };
+  store_.submit(std::move(t));
+}
+
+// After a write that did not succeed: waits until the replica holds whatever was written instead.
+void Controller::settle(Ms now, std::function<void(Ms)> done) {
+  store_.barrier(now, 0, [this, done = std::move(done)](Ms at, bool ok) {
+    if (ok) {
+      done(at);
+      return;
+    }
+    settle(at, done);
+  });
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/controller.h
@@ -0,0 +1,265 @@
+// One controller as a state machine: inputs are requests, outcomes of calls and the passing of
+// time; outputs are calls to make, answers to give and lines to log. It does no input or output
+// of its own and reads no clock.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/fleet.h"
+#include "core/health.h"
+#include "core/membership.h"
+#include "core/placement.h"
+#include "core/quota.h"
+#include "core/replica.h"
+#include "core/store.h"
+#include "core/types.h"
+#include "wire/messages.h"
+#include "wire/peer.h"
+
+namespace puffinhaven::core {
+
+struct PeerSend {
+  std::string to;
+  std::string bytes;
+};
+
+struct Output {
+  std::vector<Call> calls;
+  std::vector<Answer> answers;
+  std::vector<PeerSend> peers;
+  std::vector<LogLine> logs;
+};
+
+class Controller {
+ public:
+  // `seed` must differ between any two runs of the program: the incarnation comes from it.
+  Controller(Settings settings, std::uint64_t seed);
+
+  void start(Ms now, Ms wall);
+  void tick(Ms now, Ms wall);
+  void on_request(Ms now, std::uint64_t request, const Request& r);
+  void on_outcome(Ms now, std::uint64_t call, const Outcome& outcome);
+  void on_peer(Ms now, std::string_view bytes);
+  Output take_output() { return std::exchange(out_, {}); }
+
+  const Replica& replica() const { return replica_; }
+  const Settings& settings() const { return settings_; }
+  // In the view and with everything read.
+  bool ready() const;
+  std::string status_line(Ms now) const;
+
+ private:
+  // A task's attempt on a machine as last reported.
+  struct Seen {
+    std::uint64_t attempt = 0;
+    wire::TaskState state = wire::TaskState::fetching;
+    wire::ExitCause cause = wire::ExitCause::none;
+    bool saved = false;
+    Ms running_since = 0;
+  };
+  struct Machine {
+    std::string id, address, type, zone;
+    bool spot = false;
+    std::uint64_t owner_since = 0;  // epoch
+    bool touched = false;           // has shown a token of ours: no other answer counts for it
+    std::uint64_t fence = 0;
+    std::uint64_t token_seen = 0;
+    std::uint64_t start_token = 0;  // highest token with which a start was sent
+    std::uint64_t session = 0, sequence = 0;
+    Ms heard_at = 0;
+    Ms lease_from = 0;  // no answer that counts was given after this
+    bool lease_known = false;
+    bool notice = false;
+    Ms notice_ends = 0;
+    std::map<wire::TaskId, Seen> tasks;
+    std::map<wire::TaskId, std::pair<std::uint64_t, double>> halts;  // attempt, grace
+    std::map<wire::TaskId, std::uint64_t> unseen_starts;             // attempt -> its last token
+    std::vector<std::string> images;
+    Ms no_room_until = 0;
+    bool orders_in_flight = false;
+    bool kick_again = false;
+    Ms orders_after = 0;
+    int orders_failed = 0;
+    bool record_busy = false;
+    double reserved_cpus = 0, reserved_gpus = 0, reserved_memory = 0;
+  };
+  struct Freed {
+    std::uint64_t attempt = 0;
+    bool done = false;
+  };
+  struct RangeWork {
+    bool busy = false;
+    Ms retry_at = 0;
+    Ms first_seen = 0;
+    std::map<std::uint32_t, Freed> freed;              // proven, to be recorded
+    std::map<std::uint32_t, wire::Placement> placing;  // being written
+    std::uint32_t cursor = 0;                          // no unstarted task before it
+    bool want_stop = false;                            // gang to be stopped in good order
+  };
+  struct Waiter {
+    std::uint64_t request = 0;
+    std::string job;
+  };
+
+  // ---- controller.cpp ----
+  void call(Target target, std::string address, std::string method, std::string path,
+            std::string body, Ms timeout, OutcomeHandler done);
+  void answer(std::uint64_t request, int status, std::string body, int retry_after_s = 0);
+  void log(LogLevel level, std::string text);
+  void on_item(Ms now, const wire::StoredItem& item);
+  void after_changes(Ms now);
+  void on_view(Ms now);
+  void keep_membership(Ms now);
+  void join(Ms now);
+  void acknowledge_view(Ms now);
+  void settle(Ms now, std::function<void(Ms)> done);
+  wire::Guard view_guard() const { return store_.guard(std::string(wire::kViewKey)); }
+  bool can_write(Ms now) const { return ready() && store_.answering(now); }
+  bool keeps(std::string_view duty) const { return membership_.keeper(duty) == settings_.name; }
+  const Team* team(const std::string& name) const;
+
+  // ---- jobs.cpp ----
+  void on_submit(Ms now, std::uint64_t request, const std::string& body);
+  void on_poll(Ms now, std::uint64_t request, const std::string& job);
+  void on_cancel(Ms now, std::uint64_t request, const std::string& job, int tries);
+  void on_health(Ms now, std::uint64_t request);
+  void decline(std::uint64_t request, int retry_after_s);
+  bool shed(std::uint64_t request);
+  // Finds the job as of now or later; calls back with its answer's body, "" if there is none.
+  using Found = std::function<void(Ms now, bool known, wire::JobState state, std::uint64_t done,
+                                   std::uint64_t running)>;
+  void lookup(Ms now, std::uint64_t request, const std::string& job, Ms give_up, Found found);
+  std::string verdict(const wire::JobSpec& spec) const;
+  std::vector<wire::RangeRecord> divide(const wire::JobSpec& spec) const;
+  wire::JobState state_of(const Job& job) const;
+  void finish_jobs(Ms now);
+  void finish(const std::string& id, const Job& job);
+
+  // ---- workers.cpp ----
+  void on_report(Ms now, std::uint64_t request, const std::string& body);
+  void take_report(Ms now, Machine& m, const wire::MachineReport& report);
+  void reconcile(Ms now, Machine& m);
+  void free_task(const TaskRef& ref, std::uint64_t attempt, bool done);
+  void on_exit(Ms now, Machine& m, const TaskRef& ref, const Seen& seen);
+  std::uint64_t token(const Machine& m) const {
+    return Membership::token(membership_.epoch(), m.fence);
+  }
+  std::vector<wire::Command> commands(Ms now, Machine& m);
+  bool direct_needed(const Machine& m, const std::vector<wire::Command>& commands) const;
+  // The task is not to be on any machine: cancelled, being stopped, or of a gang that failed.
+  bool unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const;
+  bool absence_open(const Machine& m) const;
+  void kick(Ms now, Machine& m);
+  void on_orders(Ms now, const std::string& id, std::uint64_t epoch, const Outcome& outcome);
+  void watch_machines(Ms now);
+  void learn_lease(Ms now, Machine& m) const;
+  bool lease_over(Ms now, const Machine& m) const;
+  void write_machine(Ms now, Machine& m, wire::MachineStanding standing);
+  bool usable(Ms now, const Machine& m) const;
+  bool others_yielded(std::uint64_t epoch) const;
+  Ms silent_after() const;
+
+  // ---- schedule.cpp ----
+  struct Pass;
+  void schedule(Ms now);
+  Candidate candidate(Ms now, const Machine& m) const;
+  Candidate foreign_candidate(const std::string& id, const wire::MachineRecord& record) const;
+  bool place_array(Ms now, Pass& pass, const RangeId& id, const Job& job,
+                   const wire::RangeRecord& range);
+  bool place_gang(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range);
+  int make_room(Ms now, Pass& pass, const wire::JobSpec& spec);
+  void take_ranges(Ms now, Pass& pass);
+  bool zone_allows(const Job& job, const std::string& zone) const;
+  bool grant_allows(Pass& pass, const wire::JobSpec& spec);
+  void assign(Pass& pass, RangeWork& work, const RangeId& id, const Job& job, std::uint32_t task,
+              std::uint64_t attempt, int machine);
+  void write_range(const RangeId& id);
+  void write_taken(const RangeId& from, std::uint32_t first, const RangeId& to);
+  void clear_placing(RangeWork& work, const wire::JobSpec& spec);
+  std::size_t placed_most() const;
+  bool unstarted(const RangeWork& work, const wire::RangeRecord& range, std::uint32_t task) const;
+  double elapsed_s(Ms now, const Machine& m, const TaskRef& ref, std::uint64_t attempt) const;
+  void keep_quotas(Ms now);
+
+  // ---- cloud.cpp ----
+  void keep_cloud(Ms now);
+  void read_catalog(Ms now);
+  void read_list(Ms now, std::string after);
+  void on_list(Ms now);
+  void size_fleet(Ms now);
+  void repeat_hires(Ms now);
+  void return_machines(Ms now);
+  void return_now(Ms now, std::vector<std::string> ids);
+  void set_standing(const std::string& id, wire::MachineRecord record,
+                    wire::MachineStanding standing);
+  bool keeps_cloud() const { return keeps("cloud"); }
+  std::vector<Demand> demand() const;
+
+  // ---- peers.cpp ----
+  void tell_peers(Ms now);
+  // A newer view exists that we cannot read: whoever it names gives the commands now.
+  bool superseded(Ms now) const;
+
+  Settings settings_;
+  pcg32 random_;
+  std::string incarnation_;
+  Output out_;
+  std::uint64_t next_call_ = 1;
+  std::unordered_map<std::uint64_t, OutcomeHandler> handlers_;
+  Ms wall_offset_ = 0;  // time of day minus steady time
+
+  Replica replica_;
+  Store store_;
+  Membership membership_;
+  Health health_;
+  Fleet fleet_;
+
+  bool joining_ = false;
+  bool acknowledging_ = false;
+  bool removing_ = false;
+  bool view_known_ = false;
+  std::uint64_t known_epoch_ = 0;
+  Ms join_after_ = 0;
+  std::map<std::string, Ms> hold_missing_since_;
+
+  std::map<std::string, Machine> machines_;  // of our part
+  std::map<RangeId, RangeWork> work_;
+  std::set<std::string> finishing_;
+  std::set<std::string> check_finish_;
+  bool dirty_ = false;
+  Ms schedule_after_ = 0;
+  std::size_t waiting_requests_ = 0;
+  std::map<std::string, bool> quota_busy_;
+  std::map<std::string, wire::QuotaRecord::Amount> quota_need_;
+  Ms quota_after_ = 0;
+
+  Ms catalog_at_ = 0, list_at_ = 0, size_at_ = 0, return_at_ = 0, hires_at_ = 0;
+  bool catalog_busy_ = false, list_busy_ = false, return_busy_ = false;
+  std::vector<wire::CloudMachine> listing_;
+  std::map<std::string, wire::CloudMachine> listed_;
+  Ms listed_at_ = 0;
+  std::set<std::string> hires_busy_;
+  std::set<std::string> record_busy_;  // machine records being written by the cloud's keeper
+  std::map<std::string, Ms> gone_since_;
+  std::map<std::string, Ms> first_listed_;
+  std::uint64_t hire_number_ = 0;
+  Ms surplus_since_ = 0;
+
+  struct PeerState {
+    Ms heard_at = 0;
+    bool state_answers = false;
+    std::uint64_t epoch = 0;
+  };
+  std::map<std::string, PeerState> peers_;
+  Ms peers_at_ = 0;
+  std::uint64_t newest_epoch_ = 0;  // of any view heard of
+  Ms machines_at_ = 0;
+};
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,132 @@
+#include "core/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/constants.h"
+#include "core/placement.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+namespace {
+// Seconds in which a job without any aim should be through.
+constexpr double kDefaultHorizonS = 600.0;
+}  // namespace
+
+double Fleet::parallel(const Demand& d) const {
+  const wire::JobSpec& job = *d.job;
+  const auto tasks = static_cast<double>(d.tasks);
+  if (job.gang) return job.tasks;
+  double horizon = kDefaultHorizonS;
+  for (const auto& o : settings_.objectives) {
+    if (o.job_class != job.job_class) continue;
+    if (o.kind == "deadline" && job.deadline_s)
+      horizon = std::min(horizon, *job.deadline_s * std::max(1.0, o.times));
+    if (o.kind == "finished" && o.within_s > 0) horizon = std::min(horizon, o.within_s);
+    if (o.kind == "wait") horizon = 0;
+  }
+  // Half of the horizon: boots, fetches and wrong estimates take the rest.
+  const double rounds = std::max(1.0, std::floor(horizon / 2 / std::max(1.0, job.estimate_s)));
+  return std::ceil(tasks / rounds);
+}
+
+const wire::MachineType* Fleet::type_for(const wire::JobSpec& job,
+                                         const std::vector<wire::MachineType>& catalog) const {
+  const wire::MachineType* best = nullptr;
+  double best_price = 0;
+  for (const auto& t : catalog) {
+    if (!job.types.empty() &&
+        std::find(job.types.begin(), job.types.end(), t.name) == job.types.end())
+      continue;
+    if (!job.zone.empty() && std::find(t.zones.begin(), t.zones.end(), job.zone) == t.zones.end())
+      continue;
+    const double n = fit_count(job, t.cpus, t.gpus, t.memory_gb);
+    if (n < 1) continue;
+    const double price = t.price / n;
+    if (!best || price < best_price) {
+      best = &t;
+      best_price = price;
+    }
+  }
+  return best;
+}
+
+std::map<std::pair<std::string, std::string>, double> Fleet::wanted(
+    const std::vector<Demand>& demand, const std::vector<wire::MachineType>& catalog) const {
+  std::map<std::pair<std::string, std::string>, double> out;
+  for (const auto& d : demand) {
+    const auto* t = type_for(*d.job, catalog);
+    if (!t || d.tasks == 0) continue;
+    out[{t->name, d.job->zone}] += parallel(d) / fit_count(*d.job, t->cpus, t->gpus, t->memory_gb);
+  }
+  for (auto& [key, n] : out) n = n * (1.0 + k::kHeadroom) + k::kSpareMachines;
+  return out;
+}
+
+bool Fleet::is_refused(Ms now, const MachineKind& kind) const {
+  auto it = refused_.find(kind);
+  return it != refused_.end() && now < it->second;
+}
+
+void Fleet::refused(Ms now, const MachineKind& kind) { refused_[kind] = now + k::kRefusedPauseMs; }
+
+std::vector<wire::RentRequest> Fleet::to_rent(Ms now, const std::vector<Demand>& demand,
+                                              const std::vector<wire::MachineType>& catalog,
+                                              const std::map<MachineKind, int>& held) const {
+  std::map<std::string, bool> spot_ok;  // some work of this type may use spot machines
+  for (const auto& d : demand) {
+    if (const auto* t = type_for(*d.job, catalog)) spot_ok[t->name] |= d.job->spot;
+  }
+  std::map<MachineKind, int> counts = held;
+  std::map<MachineKind, int> rent;
+  for (const auto& [key, want] : wanted(demand, catalog)) {
+    const auto& [type_name, zone] = key;
+    const auto type = std::find_if(catalog.begin(), catalog.end(),
+                                   [&](const auto& t) { return t.name == type_name; });
+    double have = 0;
+    for (const auto& [kind, n] : counts)
+      if (kind.type == type_name && (zone.empty() || kind.zone == zone)) have += n;
+    int missing = static_cast<int>(std::ceil(want - have));
+    while (missing-- > 0) {
+      // Ordinary machines first: they are not taken back. Then the zone with the fewest.
+      const MachineKind* best = nullptr;
+      MachineKind found;
+      for (const bool spot : {false, true}) {
+        if (best || (spot && !spot_ok[type_name])) continue;
+        for (const auto& z : type->zones) {
+          MachineKind kind{type_name, z, spot};
+          if ((!zone.empty() && z != zone) || is_refused(now, kind)) continue;
+          if (rent[kind] >= static_cast<int>(k::kRentAtOnce)) continue;
+          if (!best || counts[kind] < counts[found]) {
+            found = kind;
+            best = &found;
+          }
+        }
+      }
+      if (!best) break;
+      ++counts[found];
+      ++rent[found];
+    }
+  }
+  std::vector<wire::RentRequest> out;
+  for (const auto& [kind, n] : rent) {
+    if (n > 0) out.push_back({"", kind.type, kind.zone, kind.spot, static_cast<std::uint32_t>(n)});
+  }
+  return out;
+}
+
+std::map<std::string, int> Fleet::surplus(const std::vector<Demand>& demand,
+                                          const std::vector<wire::MachineType>& catalog,
+                                          const std::map<MachineKind, int>& held) const {
+  std::map<std::string, double> want;
+  for (const auto& [key, n] : wanted(demand, catalog)) want[key.first] += n;
+  std::map<std::string, int> out;
+  for (const auto& [kind, n] : held) out[kind.type] += n;
+  for (auto& [type, n] : out)
+    n -= static_cast<int>(std::ceil(std::max(want[type], k::kSpareMachines)));
+  return out;
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/fleet.h
@@ -0,0 +1,55 @@
+// How many machines to hold, and which to rent next. Pure functions.
+#pragma once
+
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "core/types.h"
+#include "wire/store.h"
+
+namespace puffinhaven::core {
+
+struct MachineKind {
+  std::string type, zone;
+  bool spot = false;
+  auto operator<=>(const MachineKind&) const = default;
+};
+
+// Work that is not finished, as far as sizing cares.
+struct Demand {
+  const wire::JobSpec* job = nullptr;
+  std::uint64_t tasks = 0;  // unfinished
+};
+
+class Fleet {
+ public:
+  explicit Fleet(const Settings& settings) : settings_(settings) {}
+
+  // Tasks of the job that have to run side by side for its aim.
+  double parallel(const Demand& demand) const;
+  // The cheapest allowed type that a task fits on; nullptr if none.
+  const wire::MachineType* type_for(const wire::JobSpec& job,
+                                    const std::vector<wire::MachineType>& catalog) const;
+  // Machines wanted, by type and zone ("" for any zone).
+  std::map<std::pair<std::string, std::string>, double> wanted(
+      const std::vector<Demand>& demand, const std::vector<wire::MachineType>& catalog) const;
+  // What to rent now, at most one request per kind. `held` counts machines that are usable or on
+  // their way; `refused` tells until when a kind is not asked for.
+  std::vector<wire::RentRequest> to_rent(Ms now, const std::vector<Demand>& demand,
+                                         const std::vector<wire::MachineType>& catalog,
+                                         const std::map<MachineKind, int>& held) const;
+  // Machines held beyond what is wanted, in total over zones, per type.
+  std::map<std::string, int> surplus(const std::vector<Demand>& demand,
+                                     const std::vector<wire::MachineType>& catalog,
+                                     const std::map<MachineKind, int>& held) const;
+  void refused(Ms now, const MachineKind& kind);
+
+ private:
+  bool is_refused(Ms now, const MachineKind& kind) const;
+  const Settings& settings_;
+  std::map<MachineKind, Ms> refused_;
+};
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/health.cpp
@@ -0,0 +1,54 @@
+#include "core/health.h"
+
+#include <algorithm>
+
+#include "core/constants.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+bool Health::failed(Ms now, const std::string& machine, const std::string& job) {
+  JobErrors& j = jobs_[job];
+  j.machines[machine] = now;
+  ++j.in_a_row;
+  const bool faulty = j.machines.size() >= k::kFaultyJobMachines;
+  if (faulty) {
+    const Ms wait = k::kJobBackoffMs << std::min(j.in_a_row - 1, 10);
+    j.not_before = now + std::min(wait, k::kJobBackoffMostMs);
+  }
+  auto& m = machines_[machine];
+  m[job] = now;
+  std::erase_if(m, [now](const auto& e) { return now - e.second > k::kErrorMemoryMs; });
+  // A job that fails wherever it runs says nothing about the machine.
+  const auto telling =
+      std::count_if(m.begin(), m.end(), [this](const auto& e) { return !faulty_job(e.first); });
+  return static_cast<std::size_t>(telling) >= k::kSickJobs;
+}
+
+void Health::completed(const std::string& machine, const std::string& job) {
+  jobs_.erase(job);
+  machines_.erase(machine);
+}
+
+Ms Health::not_before(const std::string& job) const {
+  auto it = jobs_.find(job);
+  return it == jobs_.end() ? 0 : it->second.not_before;
+}
+
+bool Health::failed_here(Ms now, const std::string& machine, const std::string& job) const {
+  auto it = machines_.find(machine);
+  if (it == machines_.end()) return false;
+  auto e = it->second.find(job);
+  return e != it->second.end() && now - e->second < k::kErrorMemoryMs;
+}
+
+bool Health::faulty_job(const std::string& job) const {
+  auto it = jobs_.find(job);
+  return it != jobs_.end() && it->second.machines.size() >= k::kFaultyJobMachines;
+}
+
+void Health::forget_job(const std::string& job) { jobs_.erase(job); }
+void Health::forget_machine(const std::string& machine) { machines_.erase(machine); }
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/health.h
@@ -0,0 +1,36 @@
+// Tells sick machines from faulty jobs.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "core/types.h"
+
+namespace puffinhaven::core {
+
+class Health {
+ public:
+  // A task of `job` failed on `machine`. True when the machine now counts as sick.
+  bool failed(Ms now, const std::string& machine, const std::string& job);
+  // A task of `job` completed on `machine`: neither is at fault.
+  void completed(const std::string& machine, const std::string& job);
+  // Earliest time at which the job's tasks may be started again.
+  Ms not_before(const std::string& job) const;
+  // The machine failed a task of this job lately: others are tried first.
+  bool failed_here(Ms now, const std::string& machine, const std::string& job) const;
+  bool faulty_job(const std::string& job) const;
+  void forget_job(const std::string& job);
+  void forget_machine(const std::string& machine);
+
+ private:
+  struct JobErrors {
+    std::map<std::string, Ms> machines;
+    int in_a_row = 0;
+    Ms not_before = 0;
+  };
+  std::map<std::string, JobErrors> jobs_;
+  std::map<std::string, std::map<std::string, Ms>> machines_;  // machine -> job -> last error
+};
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/jobs.cpp
@@ -0,0 +1,401 @@
+// Users: submitting, asking, cancelling; and the end of jobs.
+#include <algorithm>
+#include <cmath>
+
+#include "core/constants.h"
+#include "core/controller.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+void Controller::decline(std::uint64_t request, int retry_after_s) {
+  answer(request, 503, wire::error_body("not now"), retry_after_s);
+}
+
+bool Controller::shed(std::uint64_t request) {
+  if (waiting_requests_ < k::kWaitingRequests) return false;
+  answer(request, 429, wire::error_body("too many requests"), k::kRetryAfterS);
+  return true;
+}
+
+void Controller::lookup(Ms now, std::uint64_t request, const std::string& id, Ms give_up,
+                        Found found) {
+  // Final states never change, so the first one known is the answer.
+  if (const auto* over = replica_.over(id)) {
+    found(now, true, over->done ? wire::JobState::done : wire::JobState::cancelled,
+          over->done ? over->tasks : 0, 0);
+    return;
+  }
+  if (!ready() || !store_.answering(now)) {
+    decline(request, k::kRetryAfterOutageS);
+    return;
+  }
+  if (shed(request)) return;
+  ++waiting_requests_;
+  store_.barrier(now, give_up, [this, request, id, found](Ms at, bool ok) {
+    --waiting_requests_;
+    if (!ok) {
+      decline(request, k::kRetryAfterS);
+      return;
+    }
+    if (const auto* over = replica_.over(id)) {
+      found(at, true, over->done ? wire::JobState::done : wire::JobState::cancelled,
+            over->done ? over->tasks : 0, 0);
+      return;
+    }
+    if (const Job* job = replica_.job(id)) {
+      found(at, true, state_of(*job), job->done_tasks(), job->placed_tasks());
+      return;
+    }
+    ++waiting_requests_;
+    store_.read(wire::over_key(id), [this, request, id, found](Ms then, const Outcome& outcome) {
+      --waiting_requests_;
+      wire::StoredItem item;
+      wire::OverRecord over;
+      if (outcome.status == 200 && wire::parse_item(outcome.body, item) && item.value &&
+          decode(*item.value, over)) {
+        replica_.remember_over(id, over);
+        found(then, true, over.done ? wire::JobState::done : wire::JobState::cancelled,
+              over.done ? over.tasks : 0, 0);
+      } else if (outcome.status == 404) {
+        // Accepted between the two reads: then the replica may have it by now.
+        if (replica_.job(id) || replica_.over(id)) {
+          decline(request, k::kRetryAfterS);
+          return;
+        }
+        found(then, false, wire::JobState::queued, 0, 0);
+      } else {
+        decline(request, k::kRetryAfterS);
+      }
+    });
+  });
+}
+
+wire::JobState Controller::state_of(const Job& job) const {
+  if (job.record.cancelled) return wire::JobState::cancelled;
+  return job.placed_tasks() > 0 ? wire::JobState::running : wire::JobState::queued;
+}
+
+void Controller::on_health(Ms now, std::uint64_t request) {
+  bool healthy = ready();
+  if (healthy && !store_.answering(now)) {
+    // An outage that all share is no reason to send users elsewhere; being refused alone is.
+    for (const auto& [name, p] : peers_) {
+      if (p.state_answers && now - p.heard_at < 2 * k::kStateSilentMs) healthy = false;
+    }
+  }
+  if (healthy) {
+    answer(request, 200, "{}");
+  } else {
+    answer(request, 503, wire::error_body("no state"), k::kRetryAfterS);
+  }
+}
+
+void Controller::on_poll(Ms now, std::uint64_t request, const std::string& id) {
+  lookup(now, request, id, now + k::kPollPatienceMs,
+         [this, request, id](Ms, bool known, wire::JobState state, std::uint64_t done,
+                             std::uint64_t running) {
+           if (!known) {
+             answer(request, 404, wire::error_body("no such job"));
+           } else {
+             answer(request, 200, wire::job_status_body(id, state, done, running));
+           }
+         });
+}
+
+std::string Controller::verdict(const wire::JobSpec& spec) const {
+  const Team* t = team(spec.team);
+  if (!t) return "unknown team";
+  const bool fits = std::any_of(
+      replica_.catalog().begin(), replica_.catalog().end(), [&](const wire::MachineType& type) {
+        if (!spec.types.empty() &&
+            std::find(spec.types.begin(), spec.types.end(), type.name) == spec.types.end())
+          return false;
+        if (!spec.zone.empty() &&
+            std::find(type.zones.begin(), type.zones.end(), spec.zone) == type.zones.end())
+          return false;
+        return type_fits(spec, type);
+      });
+  if (!fits) return "a task fits no allowed machine type";
+  const double n = spec.gang ? spec.tasks : 1;
+  if ((t->cpus_max > 0 && n * spec.cpus > t->cpus_max) ||
+      (t->gpus_max > 0 && n * spec.gpus > t->gpus_max))
+    return "needs more than the team's limit";
+  if (spec.gang && spec.tasks > placed_most()) return "gang is too large";
+  if (spec.gang && spec.one_zone && spec.spread && spec.tasks > 1)
+    return "together and scatter exclude each other";
+  return "";
+}
+
+std::vector<wire::RangeRecord> Controller::divide(const wire::JobSpec& spec) const {
+  auto make = [&](std::uint32_t begin, std::uint32_t end, const std::string& owner) {
+    wire::RangeRecord r;
+    r.job = spec.id;
+    r.owner = owner;
+    r.begin = begin;
+    r.end = end;
+    r.done.assign(end - begin, false);
+    return r;
+  };
+  // Free room and load of each part, in tasks of this job.
+  struct Part {
+    double room = 0, capacity = 0, load = 0;
+    std::uint32_t given = 0;
+  };
+  std::map<std::string, Part> parts;
+  for (const auto& name : membership_.live()) parts[name];
+  for (const auto& [id, record] : replica_.machines()) {
+    if (record.standing != wire::MachineStanding::ready || record.session == 0 ||
+        !allowed(spec, record.type, record.zone, record.spot))
+      continue;
+    const auto* type = replica_.type(record.type);
+    auto part = parts.find(membership_.machine_owner(id, record.zone));
+    if (!type || part == parts.end()) continue;
+    const Candidate c = foreign_candidate(id, record);
+    part->second.room += fit_count(spec, c.cpus, c.gpus, c.memory_gb);
+    part->second.capacity += fit_count(spec, type->cpus, type->gpus, type->memory_gb);
+  }
+  // Unstarted work that is already theirs comes first.
+  for (const auto& [id, job] : replica_.jobs()) {
+    if (!job.known || job.record.cancelled) continue;
+    for (const auto& [number, r] : job.ranges) {
+      const double waiting =
+          (r.end - r.begin) - r.done_count() - static_cast<double>(r.placed.size());
+      auto part = parts.find(membership_.range_owner(wire::range_key(id, number), r.owner));
+      if (part == parts.end()) continue;
+      const double scale = spec.cpus > 0 ? job.record.spec.cpus / spec.cpus : 1.0;
+      if (job.record.spec.priority >= spec.priority) part->second.room -= waiting * scale;
+      part->second.load += waiting * scale;
+    }
+  }
+  const bool whole = spec.gang || spec.one_zone || spec.spread;
+  std::string first = membership_.keeper(wire::job_key(spec.id));
+  // Task by task to the part with most room left, then to the one least loaded for its size.
+  // Large jobs go in larger steps; the outcome is nearly the same.
+  const std::uint32_t step = std::max<std::uint32_t>(1, whole ? spec.tasks : spec.tasks / 256);
+  for (std::uint32_t given = 0; given < spec.tasks;) {
+    const std::uint32_t n = std::min(step, spec.tasks - given);
+    Part* best = nullptr;
+    std::string best_name;
+    for (auto& [name, p] : parts) {
+      if (p.capacity <= 0) continue;
+      bool better = !best;
+      if (best) {
+        const bool has = p.room >= 1, best_has = best->room >= 1;
+        if (has != best_has) {
+          better = has;
+        } else if (has) {
+          better = p.room > best->room || (p.room == best->room && name == first);
+        } else {
+          better = (p.load + 1) / p.capacity < (best->load + 1) / best->capacity;
+        }
+      }
+      if (better) {
+        best = &p;
+        best_name = name;
+      }
+    }
+    if (!best) {
+      best = &parts[first];
+      best_name = first;
+    }
+    best->given += n;
+    best->room -= n;
+    best->load += n;
+    given += n;
+  }
+  std::vector<wire::RangeRecord> out;
+  std::uint32_t begin = 0;
+  for (const auto& [name, p] : parts) {
+    for (std::uint32_t left = p.given; left > 0;) {
+      const std::uint32_t n = std::min(left, k::kTasksPerRange);
+      out.push_back(make(begin, begin + n, name));
+      out.back().number = static_cast<std::uint32_t>(out.size());
+      begin += n;
+      left -= n;
+    }
+  }
+  return out;
+}
+
+void Controller::on_submit(Ms now, std::uint64_t request, const std::string& body) {
+  wire::JobSpec spec;
+  if (const std::string error = wire::parse_job(body, spec); !error.empty()) {
+    answer(request, 400, wire::error_body(error));
+    return;
+  }
+  const std::string id = spec.id;
+  auto known = [this, request, id](wire::JobState state) {
+    answer(request, 200, wire::job_state_body(id, state));
+  };
+  if (const auto* over = replica_.over(id)) {
+    known(over->done ? wire::JobState::done : wire::JobState::cancelled);
+    return;
+  }
+  if (!can_write(now) || !replica_.has_catalog()) {
+    decline(request, k::kRetryAfterOutageS);
+    return;
+  }
+  const std::string reason = verdict(spec);
+  if (replica_.job(id) || !reason.empty()) {
+    // What was accepted once is never refused later, whatever has changed since.
+    lookup(now, request, id, now + k::kSubmitPatienceMs,
+           [this, request, reason, known](Ms, bool found, wire::JobState state, std::uint64_t,
+                                          std::uint64_t) {
+             if (found) {
+               known(state);
+             } else if (!reason.empty()) {
+               answer(request, 422, wire::error_body(reason));
+             } else {
+               decline(request, k::kRetryAfterS);
+             }
+           });
+    return;
+  }
+  if (replica_.jobs().size() >= k::kLiveJobs) {
+    answer(request, 429, wire::error_body("too many jobs"), k::kRetryAfterOutageS);
+    return;
+  }
+  if (shed(request)) return;
+  wire::JobRecord record;
+  record.spec = spec;
+  record.submitted_ms = now + wall_offset_;
+  Transaction t;
+  t.guards = {view_guard(), {wire::job_key(id), 0}, {wire::over_key(id), 0}};
+  t.writes.push_back({wire::job_key(id), encode(record), std::nullopt});
+  for (const auto& r : divide(spec)) {
+    const std::string key = wire::range_key(id, r.number);
+    t.guards.push_back({key, 0});
+    t.writes.push_back({key, encode(r), std::nullopt});
+  }
+  t.urgent = true;
+  t.give_up = now + k::kSubmitPatienceMs;
+  ++waiting_requests_;
+  t.done = [this, request, id, known](Ms at, Committed result, const auto&) {
+    --waiting_requests_;
+    if (result == Committed::yes) {
+      answer(request, 201, wire::job_state_body(id, wire::JobState::queued));
+    } else if (result == Committed::conflict) {
+      // Known already, or the view has changed.
+      lookup(at, request, id, at + k::kPollPatienceMs,
+             [this, request, known](Ms, bool found, wire::JobState state, std::uint64_t,
+                                    std::uint64_t) {
+               found ? known(state) : decline(request, k::kRetryAfterS);
+             });
+    } else {
+      decline(request, result == Committed::refused ? k::kRetryAfterOutageS : k::kRetryAfterS);
+    }
+  };
+  store_.submit(std::move(t));
+  store_.tick(now);
+}
+
+void Controller::on_cancel(Ms now, std::uint64_t request, const std::string& id, int tries) {
+  lookup(now, request, id, now + k::kSubmitPatienceMs,
+         [this, request, id, tries](Ms at, bool known, wire::JobState state, std::uint64_t,
+                                    std::uint64_t) {
+           if (!known) {
+             answer(request, 404, wire::error_body("no such job"));
+             return;
+           }
+           if (state == wire::JobState::done || state == wire::JobState::cancelled) {
+             answer(request, 200, wire::job_state_body(id, state));
+             return;
+           }
+           const Job* job = replica_.job(id);
+           if (!job || tries > 3) {
+             decline(request, k::kRetryAfterS);
+             return;
+           }
+           wire::JobRecord record = job->record;
+           record.cancelled = true;
+           Transaction t;
+           const std::string key = wire::job_key(id);
+           t.guards = {view_guard(), store_.guard(key)};
+           t.writes = {{key, encode(record), std::nullopt}};
+           t.urgent = true;
+           t.give_up = at + k::kSubmitPatienceMs;
+           ++waiting_requests_;
+           t.done = [this, request, id, tries](Ms then, Committed result, const auto&) {
+             --waiting_requests_;
+             if (result == Committed::yes) {
+               answer(request, 200, wire::job_state_body(id, wire::JobState::cancelled));
+             } else if (result == Committed::conflict) {
+               on_cancel(then, request, id, tries + 1);
+             } else {
+               decline(request, k::kRetryAfterS);
+             }
+           };
+           store_.submit(std::move(t));
+         });
+}
+
+// ---- the end of jobs ----
+
+void Controller::finish_jobs(Ms now) {
+  if (!can_write(now) || check_finish_.empty()) return;
+  std::set<std::string> again;
+  for (const auto& id : std::exchange(check_finish_, {})) {
+    auto it = replica_.jobs().find(id);
+    if (it == replica_.jobs().end()) {
+      health_.forget_job(id);
+      continue;
+    }
+    if (!keeps(wire::job_key(id))) {
+      // Looked at again when the view changes; cheap enough to keep.
+      if (membership_.live().empty()) again.insert(id);
+      continue;
+    }
+    const Job& job = it->second;
+    if (!job.known) {
+      // Ranges that outlived their job, more than one transaction could remove.
+      if (!finishing_.contains(id)) finish(id, job);
+      continue;
+    }
+    const bool all_done =
+        job.whole() && std::all_of(job.ranges.begin(), job.ranges.end(),
+                                   [](const auto& r) { return r.second.complete(); });
+    const bool clear = job.placed_tasks() == 0;
+    if (!clear || !(job.record.cancelled ? job.whole() : all_done)) continue;
+    if (!finishing_.contains(id)) finish(id, job);
+  }
+  check_finish_.insert(again.begin(), again.end());
+}
+
+void Controller::finish(const std::string& id, const Job& job) {
+  Transaction t;
+  t.guards = {view_guard()};
+  const std::string over = wire::over_key(id), key = wire::job_key(id);
+  if (job.known) {
+    wire::OverRecord record;
+    record.done = !job.record.cancelled;
+    record.tasks = job.record.spec.tasks;
+    t.guards.push_back({over, 0});
+    t.guards.push_back(store_.guard(key));
+    t.writes.push_back({over, encode(record), std::nullopt});
+    t.writes.push_back({key, std::nullopt, std::nullopt});
+  }
+  for (const auto& [number, r] : job.ranges) {
+    const std::string range = wire::range_key(id, number);
+    // Every range is a condition; those beyond one transaction are removed by a later one.
+    t.guards.push_back(store_.guard(range));
+    if (static_cast<int>(t.writes.size()) < settings_.txn_ops)
+      t.writes.push_back({range, std::nullopt, std::nullopt});
+  }
+  finishing_.insert(id);
+  t.done = [this, id](Ms at, Committed result, const auto&) {
+    if (result == Committed::yes) {
+      finishing_.erase(id);
+      check_finish_.insert(id);
+      return;
+    }
+    settle(at, [this, id](Ms) {
+      finishing_.erase(id);
+      check_finish_.insert(id);
+    });
+  };
+  store_.submit(std::move(t));
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/membership.h
@@ -0,0 +1,46 @@
+// Who is live, who owns which machine, and the tokens that prove it. Pure functions of the view.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/types.h"
+#include "wire/store.h"
+
+namespace puffinhaven::core {
+
+// The live controller that a name is hashed to (highest random weight), or empty.
+std::string rendezvous(std::string_view key, const std::vector<std::string>& candidates);
+
+class Membership {
+ public:
+  explicit Membership(const Settings& settings);
+
+  void update(const wire::ViewRecord& view);
+  std::uint64_t epoch() const { return epoch_; }
+  const std::vector<std::string>& live() const { return live_; }
+  bool is_live(const std::string& name) const;
+
+  // Machines go to live controllers of their own zone, if there are any, else to all: when zones
+  // are cut from each other, only a controller on the same side can keep a machine's lease.
+  const std::string& machine_owner(const std::string& machine, const std::string& zone) const;
+  // A range stays with the controller it was given to while that is live.
+  std::string range_owner(const std::string& key, const std::string& recorded) const;
+  std::string keeper(std::string_view duty) const { return rendezvous(duty, live_); }
+
+  static std::uint64_t token(std::uint64_t epoch, std::uint64_t fence);
+  static std::uint64_t epoch_of(std::uint64_t token);
+
+ private:
+  std::map<std::string, std::string> zone_of_;
+  std::uint64_t epoch_ = 0;
+  std::vector<std::string> live_;
+  std::map<std::string, std::vector<std::string>> by_zone_;
+  mutable std::map<std::string, std::string> owner_cache_;
+};
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/peers.cpp
@@ -0,0 +1,46 @@
+// Hints between controllers. Nothing here may decide anything that the rules depend on.
+#include <algorithm>
+
+#include "core/constants.h"
+#include "core/controller.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+void Controller::tell_peers(Ms now) {
+  if (now < peers_at_) return;
+  peers_at_ = now + k::kHintEveryMs;
+  wire::PeerHint hint;
+  hint.from = settings_.name;
+  hint.incarnation = incarnation_;
+  hint.epoch = std::max(membership_.epoch(), newest_epoch_);
+  hint.state_answers = store_.loaded() && store_.answering(now);
+  for (const auto& [id, m] : machines_) {
+    if (usable(now, m)) hint.free_cpus += std::max(0.0, candidate(now, m).cpus);
+  }
+  const std::string bytes = encode(hint);
+  for (const auto& p : settings_.peers) out_.peers.push_back({p.name, bytes});
+}
+
+void Controller::on_peer(Ms now, std::string_view bytes) {
+  wire::PeerHint hint;
+  if (!decode(bytes, hint)) {
+    log(LogLevel::info, "unreadable hint from a peer");
+    return;
+  }
+  const bool known = std::any_of(settings_.peers.begin(), settings_.peers.end(),
+                                 [&](const auto& p) { return p.name == hint.from; });
+  if (!known) return;
+  PeerState& p = peers_[hint.from];
+  p.heard_at = now;
+  p.state_answers = hint.state_answers;
+  p.epoch = hint.epoch;
+  newest_epoch_ = std::max(newest_epoch_, hint.epoch);
+}
+
+bool Controller::superseded(Ms now) const {
+  return newest_epoch_ > membership_.epoch() && !store_.answering(now);
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/placement.cpp
@@ -0,0 +1,105 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+#include "core/constants.h"
+
+namespace puffinhaven::core {
+
+namespace {
+// Amounts are decimal numbers; sums of tenths must not miss a fit by rounding.
+constexpr double kSlack = 1e-6;
+}  // namespace
+
+bool Candidate::fits(const wire::JobSpec& job) const {
+  return cpus + kSlack >= job.cpus && gpus + kSlack >= job.gpus &&
+         memory_gb + kSlack >= job.memory_gb;
+}
+
+void Candidate::book(const wire::JobSpec& job, double remaining_s) {
+  cpus -= job.cpus;
+  gpus -= job.gpus;
+  memory_gb -= job.memory_gb;
+  booked.push_back({job.cpus, job.gpus, job.memory_gb, remaining_s});
+  if (std::find(images.begin(), images.end(), job.image) == images.end())
+    images.push_back(job.image);
+}
+
+bool allowed(const wire::JobSpec& job, const std::string& type, const std::string& zone,
+             bool spot) {
+  if (spot && !job.spot) return false;
+  if (!job.zone.empty() && zone != job.zone) return false;
+  return job.types.empty() ||
+         std::find(job.types.begin(), job.types.end(), type) != job.types.end();
+}
+
+bool type_fits(const wire::JobSpec& job, const wire::MachineType& type) {
+  return fit_count(job, type.cpus, type.gpus, type.memory_gb) >= 1.0;
+}
+
+double fit_count(const wire::JobSpec& job, double cpus, double gpus, double memory_gb) {
+  double n = 1e6;
+  if (job.cpus > 0) n = std::min(n, std::floor((cpus + kSlack) / job.cpus));
+  if (job.gpus > 0) n = std::min(n, std::floor((gpus + kSlack) / job.gpus));
+  if (job.memory_gb > 0) n = std::min(n, std::floor((memory_gb + kSlack) / job.memory_gb));
+  return std::max(0.0, n);
+}
+
+double remaining(double estimate_s, double elapsed_s) {
+  return elapsed_s < estimate_s ? estimate_s - elapsed_s : constants::kOverrunAllowanceS;
+}
+
+double predict(const Candidate& machine, const wire::JobSpec& job) {
+  double wait = 0;
+  if (!machine.fits(job)) {
+    std::vector<Booked> ends = machine.booked;
+    std::sort(ends.begin(), ends.end(),
+              [](const Booked& a, const Booked& b) { return a.remaining_s < b.remaining_s; });
+    Candidate later;
+    later.cpus = machine.cpus;
+    later.gpus = machine.gpus;
+    later.memory_gb = machine.memory_gb;
+    wait = 1e9;  // never, unless the ends of booked tasks make room
+    for (const Booked& b : ends) {
+      later.cpus += b.cpus;
+      later.gpus += b.gpus;
+      later.memory_gb += b.memory_gb;
+      if (later.fits(job)) {
+        wait = b.remaining_s;
+        break;
+      }
+    }
+  }
+  const bool has_image =
+      std::find(machine.images.begin(), machine.images.end(), job.image) != machine.images.end();
+  const double fetch = has_image ? 0.0 : job.image_gb / std::max(0.01, machine.fetch_gb_per_s);
+  return wait + fetch + job.estimate_s;
+}
+
+int choose(const std::vector<Candidate>& machines, const wire::JobSpec& job,
+           const std::vector<int>& eligible, pcg32& random) {
+  if (eligible.empty()) return -1;
+  // Equal predictions go to the machine that the task fills more: large tasks then still find
+  // whole machines.
+  auto better = [&](int a, int b) {
+    const Candidate& x = machines[static_cast<std::size_t>(a)];
+    const Candidate& y = machines[static_cast<std::size_t>(b)];
+    const double px = predict(x, job), py = predict(y, job);
+    if (std::abs(px - py) > 1e-9) return px < py;
+    return x.cpus < y.cpus;
+  };
+  int best = -1;
+  auto consider = [&](int i) {
+    if (!machines[static_cast<std::size_t>(i)].fits(job)) return;
+    if (best < 0 || better(i, best)) best = i;
+  };
+  std::uniform_int_distribution<std::size_t> draw(0, eligible.size() - 1);
+  for (int s = 0; s < constants::kSampledMachines; ++s) consider(eligible[draw(random)]);
+  if (best >= 0) return best;
+  for (const int i : eligible) consider(i);
+  return best;
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/placement.h
@@ -0,0 +1,52 @@
+// Sampling and prediction: which machine a task goes to.
+#pragma once
+
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+#include "wire/messages.h"
+
+namespace puffinhaven::core {
+
+// What a booked task holds, and how long it is still expected to hold it.
+struct Booked {
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  double remaining_s = 0;
+};
+
+// A machine as placement sees it: the last report plus starts since.
+struct Candidate {
+  std::string id;
+  std::string zone;
+  std::string type;
+  bool spot = false;
+  bool own = true;  // of this controller's part
+  std::uint64_t session = 0;
+  double cpus = 0, gpus = 0, memory_gb = 0;  // free
+  double fetch_gb_per_s = 1;
+  std::vector<std::string> images;  // known to be there or on their way
+  std::vector<Booked> booked;
+
+  bool fits(const wire::JobSpec& job) const;
+  void book(const wire::JobSpec& job, double remaining_s);
+};
+
+bool allowed(const wire::JobSpec& job, const std::string& type, const std::string& zone, bool spot);
+bool type_fits(const wire::JobSpec& job, const wire::MachineType& type);
+// Tasks of the job that a machine with this much free can take at once.
+double fit_count(const wire::JobSpec& job, double cpus, double gpus, double memory_gb);
+
+// Remaining seconds of a task that has run for `elapsed_s`. An overrunning task counts as ending
+// within the allowance.
+double remaining(double estimate_s, double elapsed_s);
+
+// Predicted finish, seconds from now: the wait until room frees, the image fetch, the estimate.
+double predict(const Candidate& machine, const wire::JobSpec& job);
+
+// Index of the machine that takes the task now, or -1 when it has to wait: the lower prediction of
+// two sampled machines; if neither has room, the lowest of one scan.
+int choose(const std::vector<Candidate>& machines, const wire::JobSpec& job,
+           const std::vector<int>& eligible, pcg32& random);
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/quota.cpp
@@ -0,0 +1,88 @@
+#include "core/quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace puffinhaven::core {
+
+namespace {
+
+constexpr double kSlack = 1e-6;
+using Amount = wire::QuotaRecord::Amount;
+
+// One dimension (cpus or gpus) of the next record. Returns true when something changed.
+bool next_dimension(const QuotaInput& in, double limit, double Amount::*field,
+                    wire::QuotaRecord& r) {
+  if (limit <= 0) return false;
+  bool changed = false;
+  auto used = [&](const std::string& who) {
+    auto it = in.used.find(who);
+    return it == in.used.end() ? 0.0 : it->second.*field;
+  };
+  // Grants of controllers that are not live shrink to what their placements still use; the view
+  // guard of the write keeps them from using more.
+  for (auto& [who, grant] : r.grants) {
+    if (std::find(in.live.begin(), in.live.end(), who) != in.live.end()) continue;
+    if (grant.*field > used(who) + kSlack) {
+      grant.*field = used(who);
+      changed = true;
+    }
+  }
+  double granted = 0, others_want = 0;
+  for (const auto& [who, grant] : r.grants) granted += grant.*field;
+  for (const auto& [who, want] : r.wanted)
+    if (who != in.self) others_want += want.*field;
+
+  double& own = r.grants[in.self].*field;
+  const double own_used = used(in.self);
+  const double target = own_used + in.need.*field;
+  const double free = std::max(0.0, limit - granted);
+  double& wanted = r.wanted[in.self].*field;
+  if (target > own + kSlack) {
+    const double take = std::min(free, target - own);
+    if (take > kSlack) {
+      own += take;
+      changed = true;
+    }
+    const double missing = std::max(0.0, target - own);
+    // Tell the others, without writing for every small change.
+    if ((missing > kSlack) != (wanted > kSlack) || missing > 2 * wanted) {
+      wanted = missing;
+      changed = true;
+    }
+  } else {
+    if (wanted > kSlack) {
+      wanted = 0;
+      changed = true;
+    }
+    const double idle = own - target;
+    if (others_want > free + kSlack && idle > kSlack) {
+      own -= std::min(idle, others_want - free);
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+}  // namespace
+
+bool limited(const Team& team) { return team.cpus_max > 0 || team.gpus_max > 0; }
+
+bool within_grant(const Team& team, const wire::QuotaRecord& record, const std::string& self,
+                  const wire::QuotaRecord::Amount& used, double cpus, double gpus) {
+  auto it = record.grants.find(self);
+  const Amount grant = it == record.grants.end() ? Amount{} : it->second;
+  if (team.cpus_max > 0 && used.cpus + cpus > grant.cpus + kSlack) return false;
+  if (team.gpus_max > 0 && used.gpus + gpus > grant.gpus + kSlack) return false;
+  return true;
+}
+
+std::optional<wire::QuotaRecord> next_quota(const QuotaInput& in, const wire::QuotaRecord& record) {
+  wire::QuotaRecord next = record;
+  const bool cpus = next_dimension(in, in.team->cpus_max, &Amount::cpus, next);
+  const bool gpus = next_dimension(in, in.team->gpus_max, &Amount::gpus, next);
+  if (!cpus && !gpus) return std::nullopt;
+  return next;
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/quota.h
@@ -0,0 +1,30 @@
+// Shares of a team's limit, granted to controllers in a record of the state service. A controller
+// starts tasks only from its own grant, so the limit holds over all parts without asking anyone.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+#include "wire/store.h"
+
+namespace puffinhaven::core {
+
+struct QuotaInput {
+  const Team* team = nullptr;
+  std::string self;
+  std::vector<std::string> live;
+  // Used per grant: recorded placements and, for our own, those being written.
+  std::map<std::string, wire::QuotaRecord::Amount> used;
+  wire::QuotaRecord::Amount need;  // what our waiting tasks would take beyond what we use
+};
+
+bool limited(const Team& team);
+// Room left in our grant.
+bool within_grant(const Team& team, const wire::QuotaRecord& record, const std::string& self,
+                  const wire::QuotaRecord::Amount& used, double cpus, double gpus);
+// The record as we want it next, or none if nothing is to change.
+std::optional<wire::QuotaRecord> next_quota(const QuotaInput& in, const wire::QuotaRecord& record);
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/replica.h
@@ -0,0 +1,97 @@
+// Everything the state service holds, decoded, with the indexes that scheduling needs.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "wire/store.h"
+
+namespace puffinhaven::core {
+
+struct RangeId {
+  std::string job;
+  std::uint32_t number = 0;
+  auto operator<=>(const RangeId&) const = default;
+};
+
+// A task within its range.
+struct TaskRef {
+  RangeId range;
+  std::uint32_t index = 0;
+  auto operator<=>(const TaskRef&) const = default;
+};
+
+struct Usage {
+  double cpus = 0, gpus = 0;
+};
+
+struct Job {
+  wire::JobRecord record;
+  std::map<std::uint32_t, wire::RangeRecord> ranges;
+  // Known once the record itself was read; ranges may come first.
+  bool known = false;
+
+  std::uint64_t done_tasks() const;
+  std::uint64_t placed_tasks() const;
+  // Every task belongs to a range held here, so nothing about the job is missing.
+  bool whole() const;
+};
+
+class Replica {
+ public:
+  // Returns false when a record could not be decoded (it is then ignored).
+  bool apply(const wire::StoredItem& item);
+
+  const wire::ViewRecord& view() const { return view_; }
+  const std::map<std::string, wire::LiveRecord>& live() const { return live_; }
+  const std::map<std::string, wire::MachineRecord>& machines() const { return machines_; }
+  const std::map<std::string, wire::RentRequest>& hires() const { return hires_; }
+  const std::map<std::string, wire::QuotaRecord>& quotas() const { return quotas_; }
+  const std::vector<wire::MachineType>& catalog() const { return catalog_; }
+  bool has_catalog() const { return has_catalog_; }
+  const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
+
+  const Job* job(const std::string& id) const;
+  const wire::RangeRecord* range(const RangeId& id) const;
+  const wire::MachineRecord* machine(const std::string& id) const;
+  const wire::MachineType* type(const std::string& name) const;
+  const wire::OverRecord* over(const std::string& id) const;
+  void remember_over(const std::string& id, const wire::OverRecord& record);
+
+  const std::set<TaskRef>& placed_on(const std::string& machine) const;
+  const wire::Placement* placement(const TaskRef& task) const;
+  // Tasks of a team recorded as placed, by the grant that they use.
+  Usage usage(const std::string& team, const std::string& grant) const;
+  Usage usage(const std::string& team) const;
+  // Changed since the last call, for level-triggered work.
+  std::set<std::string> take_changed_machines() { return std::exchange(changed_machines_, {}); }
+  bool take_view_changed() { return std::exchange(view_changed_, false); }
+  std::set<std::string> take_changed_jobs() { return std::exchange(changed_jobs_, {}); }
+
+ private:
+  void unindex(const RangeId& id, const wire::RangeRecord& range);
+  void index(const RangeId& id, const wire::RangeRecord& range);
+
+  wire::ViewRecord view_;
+  std::map<std::string, wire::LiveRecord> live_;
+  std::map<std::string, wire::MachineRecord> machines_;
+  std::map<std::string, wire::RentRequest> hires_;
+  std::map<std::string, wire::QuotaRecord> quotas_;
+  std::vector<wire::MachineType> catalog_;
+  bool has_catalog_ = false;
+  std::unordered_map<std::string, Job> jobs_;
+  std::unordered_map<std::string, wire::OverRecord> over_;
+  std::deque<std::string> over_order_;
+
+  std::unordered_map<std::string, std::set<TaskRef>> placed_on_;
+  std::set<std::string> changed_machines_;
+  std::set<std::string> changed_jobs_;
+  bool view_changed_ = false;
+};
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/store.cpp
@@ -0,0 +1,420 @@
+#include "core/store.h"
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+
+#include "core/constants.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+namespace {
+// Read at the start, in this order; final states stay out of recovery's way.
+const std::string_view kLoaded[] = {wire::kViewKey,       wire::kCatalogKey,   wire::kLivePrefix,
+                                    wire::kMachinePrefix, wire::kJobPrefixKey, wire::kRangePrefix,
+                                    wire::kHirePrefix,    wire::kQuotaPrefix};
+// Never written: asking for it tells the current revision.
+constexpr std::string_view kBarrierKey = "barrier";
+}  // namespace
+
+Store::Store(const Settings& settings, Send send, Apply apply, Log log)
+    : settings_(settings),
+      send_(std::move(send)),
+      apply_(std::move(apply)),
+      log_(std::move(log)),
+      sharers_(std::max(1, settings.controllers)) {}
+
+void Store::start(Ms now) {
+  write_refilled_ = now;
+  write_tokens_ = share(settings_.state_write_rps) / 2;
+  load_retry_at_ = now;
+  tick(now);
+}
+
+std::uint64_t Store::version(const std::string& key) const {
+  auto it = versions_.find(key);
+  return it == versions_.end() ? 0 : it->second;
+}
+
+bool Store::answering(Ms now) const {
+  return last_answer_ > 0 && last_answer_ >= last_failure_ &&
+         now - last_answer_ < k::kStateSilentMs;
+}
+
+void Store::call(std::string method, std::string path, std::string body, OutcomeHandler done) {
+  send_(Target::state, "", std::move(method), std::move(path), std::move(body), k::kStateTimeoutMs,
+        [this, done = std::move(done)](Ms now, const Outcome& outcome) {
+          note(now, outcome);
+          done(now, outcome);
+        });
+}
+
+void Store::note(Ms now, const Outcome& outcome) {
+  if (outcome.status == 0 || outcome.status == 503) {
+    last_failure_ = now;
+  } else if (outcome.status == 429) {
+    paused_until_ = std::max(paused_until_, now + k::kThrottledPauseMs);
+  } else {
+    last_answer_ = now;
+  }
+}
+
+void Store::tick(Ms now) {
+  if (!loaded_ && !loading_ && now >= load_retry_at_) {
+    loading_ = true;
+    load_prefix_ = 0;
+    load_after_.clear();
+    load_revision_ = 0;
+    load_seen_.clear();
+    load_next(now);
+  }
+  if (loaded_) {
+    if (watching_ && now - watch_opened_ > k::kWatchMs + k::kWatchGraceMs) {
+      ++watch_generation_;  // lost: whatever it still answers is ignored
+      watching_ = false;
+    }
+    if (!watching_ && now >= watch_at_) open_watch(now);
+    keep_hold(now);
+    // While nothing else is asked, a barrier read tells whether the service answers.
+    const Ms quiet = now - std::max(last_answer_, last_failure_);
+    const bool probe = answering(now) ? quiet > k::kExtendEveryMs : quiet > k::kProbeEveryMs;
+    if ((probe || !barriers_.empty()) && !barrier_in_flight_ && now >= next_barrier_)
+      send_barrier(now);
+  }
+  std::vector<Barrier> late;
+  auto expire = [&](auto& list, auto&& of) {
+    for (std::size_t i = 0; i < list.size();) {
+      if (of(list[i]).give_up && now >= of(list[i]).give_up) {
+        late.push_back(std::move(of(list[i])));
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(i));
+      } else {
+        ++i;
+      }
+    }
+  };
+  expire(barriers_, [](Barrier& b) -> Barrier& { return b; });
+  expire(barrier_wait_, [](Waiting& w) -> Barrier& { return w.barrier; });
+  for (auto& b : late) b.done(now, false);
+  flush(now);
+}
+
+// ---- reading everything ----
+
+void Store::load_next(Ms now) {
+  (void)now;
+  const std::string prefix(kLoaded[load_prefix_]);
+  call("GET", wire::page_path(prefix, load_after_, k::kPageItems), "",
+       [this](Ms at, const Outcome& outcome) {
+         if (loaded_ || !loading_) return;
+         std::vector<wire::StoredItem> items;
+         bool more = false;
+         std::uint64_t revision = 0;
+         if (outcome.status != 200 || !wire::parse_page(outcome.body, items, more, revision)) {
+           loading_ = false;
+           load_retry_at_ = at + k::kProbeEveryMs;
+           return;
+         }
+         if (load_revision_ == 0) load_revision_ = revision;
+         for (auto& item : items) {
+           load_seen_.insert(item.key);
+           load_after_ = item.key;
+           apply(at, item);
+         }
+         if (!more) {
+           load_after_.clear();
+           ++load_prefix_;
+         }
+         if (load_prefix_ < std::size(kLoaded)) {
+           load_next(at);
+           return;
+         }
+         // What an earlier reading knew and this one did not find was removed in between.
+         std::vector<std::string> vanished;
+         for (const auto& [key, version] : versions_) {
+           if (version <= load_revision_ && !load_seen_.contains(key) &&
+               !key.starts_with(wire::kOverPrefix))
+             vanished.push_back(key);
+         }
+         for (auto& key : vanished) apply(at, {std::move(key), std::nullopt, load_revision_ + 1});
+         load_seen_.clear();
+         loading_ = false;
+         loaded_ = true;
+         watched_ = load_revision_;
+         log_(LogLevel::info, "state read up to revision " + std::to_string(watched_));
+         tick(at);
+       });
+}
+
+void Store::apply(Ms now, const wire::StoredItem& item) {
+  if (auto it = removed_.find(item.key); it != removed_.end()) {
+    if (item.version <= it->second) return;
+    if (item.value) removed_.erase(it);
+  }
+  auto known = versions_.find(item.key);
+  if (known != versions_.end() && item.version <= known->second) return;
+  if (item.value) {
+    versions_[item.key] = item.version;
+  } else {
+    versions_.erase(item.key);
+    // Older events of this key may still come from the watch; they must not bring it back.
+    removed_[item.key] = item.version;
+  }
+  apply_(now, item);
+}
+
+// ---- watch ----
+
+void Store::open_watch(Ms now) {
+  watching_ = true;
+  watch_opened_ = now;
+  const std::uint64_t generation = ++watch_generation_;
+  send_(Target::state, "", "GET", wire::watch_path(watched_, k::kWatchMs), "",
+        k::kWatchMs + k::kWatchGraceMs,
+        [this, generation](Ms at, const Outcome& outcome) { on_watch(at, generation, outcome); });
+}
+
+void Store::on_watch(Ms now, std::uint64_t generation, const Outcome& outcome) {
+  if (generation != watch_generation_) return;
+  watching_ = false;
+  const double rate = share(settings_.state_rps) * k::kRateShare * k::kWatchRateShare;
+  watch_at_ = std::max(now, watch_opened_ + static_cast<Ms>(1000.0 / std::max(rate, 0.1)));
+  if (outcome.status == 410) {
+    log_(LogLevel::info, "watch fell behind; reading the state again");
+    loaded_ = false;
+    loading_ = false;
+    load_retry_at_ = now;
+    return;
+  }
+  std::vector<wire::StoredItem> events;
+  std::uint64_t revision = 0;
+  if (outcome.status != 200 || !wire::parse_events(outcome.body, events, revision)) {
+    watch_at_ = now + k::kProbeEveryMs;
+    return;
+  }
+  last_answer_ = std::max(last_answer_, now);
+  for (const auto& e : events) apply(now, e);
+  watched_ = std::max(watched_, revision);
+  std::erase_if(removed_, [this](const auto& r) { return r.second <= watched_; });
+  release_barriers(now);
+  if (now >= watch_at_) open_watch(now);
+}
+
+// ---- barriers ----
+
+void Store::barrier(Ms now, Ms give_up, std::function<void(Ms, bool)> done) {
+  barriers_.push_back({give_up, std::move(done)});
+  if (loaded_ && !barrier_in_flight_ && now >= next_barrier_) send_barrier(now);
+}
+
+void Store::send_barrier(Ms now) {
+  barrier_in_flight_ = true;
+  const double rate = share(settings_.state_rps) * k::kRateShare * k::kBarrierRateShare;
+  next_barrier_ = now + static_cast<Ms>(1000.0 / std::max(rate, 0.1));
+  auto batch = std::make_shared<std::vector<Barrier>>(std::move(barriers_));
+  barriers_.clear();
+  call("GET", wire::item_path(kBarrierKey), "", [this, batch](Ms at, const Outcome& outcome) {
+    barrier_in_flight_ = false;
+    std::uint64_t revision = 0;
+    if (outcome.status == 404 && wire::parse_revision(outcome.body, revision)) {
+      for (auto& b : *batch) barrier_wait_.push_back({revision, std::move(b)});
+      release_barriers(at);
+      return;
+    }
+    for (auto& b : *batch) b.done(at, false);
+  });
+}
+
+void Store::release_barriers(Ms now) {
+  std::vector<Barrier> ready;
+  for (std::size_t i = 0; i < barrier_wait_.size();) {
+    if (barrier_wait_[i].revision <= watched_) {
+      ready.push_back(std::move(barrier_wait_[i].barrier));
+      barrier_wait_.erase(barrier_wait_.begin() + static_cast<std::ptrdiff_t>(i));
+    } else {
+      ++i;
+    }
+  }
+  for (auto& b : ready) b.done(now, true);
+}
+
+void Store::read(const std::string& key, OutcomeHandler done) {
+  call("GET", wire::item_path(key), "", std::move(done));
+}
+
+// ---- hold ----
+
+void Store::keep_hold(Ms now) {
+  if (hold_in_flight_ || now < hold_at_) return;
+  hold_in_flight_ = true;
+  if (permit_ == 0) {
+    call("POST", wire::kHoldsPath, wire::hold_body(k::kHoldMs),
+         [this](Ms at, const Outcome& outcome) {
+           hold_in_flight_ = false;
+           hold_at_ = at + k::kProbeEveryMs;
+           std::uint64_t permit = 0;
+           if (outcome.status == 200 && wire::parse_permit(outcome.body, permit)) {
+             permit_ = permit;
+             hold_at_ = at + k::kExtendEveryMs;
+           }
+         });
+    return;
+  }
+  call("POST", wire::extend_path(permit_), "{}", [this](Ms at, const Outcome& outcome) {
+    hold_in_flight_ = false;
+    hold_at_ = at + (outcome.status == 200 ? k::kExtendEveryMs : k::kProbeEveryMs);
+    if (outcome.status == 404) {
+      log_(LogLevel::info, "our hold has ended");
+      permit_ = 0;
+      hold_at_ = at;
+    }
+  });
+}
+
+// ---- transactions ----
+
+void Store::submit(Transaction transaction) {
+  if (transaction.urgent) {
+    auto at = std::find_if(queue_.begin(), queue_.end(), [](const auto& t) { return !t.urgent; });
+    queue_.insert(at, std::move(transaction));
+  } else {
+    queue_.push_back(std::move(transaction));
+  }
+}
+
+void Store::flush(Ms now) {
+  if (queue_.empty()) return;
+  // Refuse at once what cannot be sent; whoever asked decides whether to come back.
+  const bool down = !answering(now) && last_failure_ > 0;
+  std::vector<Transaction> refused;
+  for (std::size_t i = 0; i < queue_.size();) {
+    if (down || (queue_[i].give_up && now >= queue_[i].give_up)) {
+      refused.push_back(std::move(queue_[i]));
+      queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+    } else {
+      ++i;
+    }
+  }
+  for (auto& t : refused) t.done(now, Committed::refused, {});
+  if (down || !loaded_ || now < paused_until_) return;
+
+  const double rate = share(settings_.state_write_rps);
+  write_tokens_ =
+      std::min(rate, write_tokens_ + rate * static_cast<double>(now - write_refilled_) / 1000.0);
+  write_refilled_ = now;
+  const double request_rate = share(settings_.state_rps) * k::kRateShare *
+                              (1.0 - k::kWatchRateShare - k::kBarrierRateShare);
+  while (!queue_.empty() && in_flight_ < k::kTransactionsInFlight && now >= next_transaction_) {
+    std::vector<Transaction> group;
+    std::set<std::string> written;
+    std::size_t writes = 0, guards = 0, bytes = 0;
+    const auto most = static_cast<std::size_t>(std::max(1, settings_.txn_ops));
+    for (std::size_t i = 0; i < queue_.size();) {
+      Transaction& t = queue_[i];
+      std::size_t size = 0;
+      bool clash = false;
+      for (const auto& g : t.guards) {
+        size += g.key.size() + 40;
+        clash = clash || written.contains(g.key);
+      }
+      for (const auto& x : t.writes) {
+        size += x.key.size() + 60 + (x.value ? x.value->size() : 0);
+        clash = clash || written.contains(x.key);
+      }
+      const bool fits = writes + t.writes.size() <= most &&
+                        guards + t.guards.size() <= most * k::kGuardsPerWrite &&
+                        bytes + size <= k::kTransactionBytes &&
+                        (write_tokens_ >= static_cast<double>(writes + t.writes.size()) ||
+                         (group.empty() && write_tokens_ >= rate - 1));
+      if (!fits) break;
+      if (clash) {
+        ++i;
+        continue;
+      }
+      for (const auto& x : t.writes) written.insert(x.key);
+      writes += t.writes.size();
+      guards += t.guards.size();
+      bytes += size;
+      group.push_back(std::move(t));
+      queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    if (group.empty()) return;
+    write_tokens_ -= static_cast<double>(writes);
+    next_transaction_ = now + static_cast<Ms>(1000.0 / std::max(request_rate, 0.1));
+    send_group(now, std::move(group));
+  }
+}
+
+void Store::send_group(Ms now, std::vector<Transaction> group) {
+  (void)now;
+  ++in_flight_;
+  std::vector<wire::Guard> guards;
+  std::vector<wire::Write> writes;
+  std::set<std::string> guarded;
+  for (const auto& t : group) {
+    for (const auto& g : t.guards) {
+      // The same key with another version would make the whole group fail; keep both, so that it
+      // does and the members are told apart by the conflict.
+      if (guarded.insert(g.key + "#" + std::to_string(g.version)).second) guards.push_back(g);
+    }
+    writes.insert(writes.end(), t.writes.begin(), t.writes.end());
+  }
+  auto shared = std::make_shared<std::vector<Transaction>>(std::move(group));
+  call("POST", wire::kTransactionPath, wire::transaction_body(guards, writes),
+       [this, shared](Ms at, const Outcome& outcome) {
+         --in_flight_;
+         on_group(at, std::move(*shared), outcome);
+       });
+}
+
+void Store::on_group(Ms now, std::vector<Transaction> group, const Outcome& outcome) {
+  std::uint64_t revision = 0;
+  if (outcome.status == 200 && wire::parse_revision(outcome.body, revision)) {
+    // Guards against bringing back what the watch has meanwhile seen removed: an answer that comes
+    // after the watch has passed its revision tells nothing new.
+    if (revision > watched_) {
+      for (const auto& t : group)
+        for (const auto& w : t.writes) apply(now, {w.key, w.value, revision});
+    }
+    for (auto& t : group) t.done(now, Committed::yes, {});
+    flush(now);
+    return;
+  }
+  std::vector<std::string> failed;
+  if (outcome.status == 409 && wire::parse_conflict(outcome.body, revision, failed)) {
+    std::vector<Transaction> conflicted, innocent;
+    for (auto& t : group) {
+      const bool hit = std::any_of(t.guards.begin(), t.guards.end(), [&](const auto& g) {
+        return std::find(failed.begin(), failed.end(), g.key) != failed.end();
+      });
+      (hit ? conflicted : innocent).push_back(std::move(t));
+    }
+    if (conflicted.empty()) conflicted.swap(innocent);
+    for (auto it = innocent.rbegin(); it != innocent.rend(); ++it)
+      queue_.push_front(std::move(*it));
+    for (auto& t : conflicted) t.done(now, Committed::conflict, failed);
+    flush(now);
+    return;
+  }
+  if (outcome.status == 429) {
+    for (auto it = group.rbegin(); it != group.rend(); ++it) queue_.push_front(std::move(*it));
+    return;
+  }
+  if (outcome.status == 503) {
+    for (auto& t : group) t.done(now, Committed::refused, {});
+    return;
+  }
+  if (outcome.status == 400) {
+    log_(LogLevel::error, "the state service rejected a transaction: " + outcome.body);
+    if (outcome.body.find("no such lease") != std::string::npos) {
+      permit_ = 0;
+      hold_at_ = now;
+    }
+    for (auto& t : group) t.done(now, Committed::refused, {});
+    return;
+  }
+  for (auto& t : group) t.done(now, Committed::unknown, {});
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/store.h
@@ -0,0 +1,127 @@
+// The state service as the core sees it: one watch feeding a replica, grouped guarded writes,
+// shared barrier reads, and a hold.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/types.h"
+#include "wire/store.h"
+
+namespace puffinhaven::core {
+
+enum class Committed : std::uint8_t {
+  yes,
+  conflict,  // a guard failed; nothing was written
+  refused,   // not executed
+  unknown    // no answer: executed, or still to be executed, or lost
+};
+
+struct Transaction {
+  std::vector<wire::Guard> guards;
+  std::vector<wire::Write> writes;
+  std::function<void(Ms now, Committed, const std::vector<std::string>& failed)> done;
+  bool urgent = false;  // users wait for it
+  Ms give_up = 0;       // 0: never; afterwards it is refused instead of sent
+};
+
+class Store {
+ public:
+  using Send = std::function<void(Target, std::string address, std::string method, std::string path,
+                                  std::string body, Ms timeout, OutcomeHandler)>;
+  using Apply = std::function<void(Ms now, const wire::StoredItem&)>;
+  using Log = std::function<void(LogLevel, std::string)>;
+
+  Store(const Settings& settings, Send send, Apply apply, Log log);
+
+  void start(Ms now);
+  void tick(Ms now);
+  // True once every record has been read and the watch runs.
+  bool loaded() const { return loaded_; }
+  // True while the service answers.
+  bool answering(Ms now) const;
+  Ms last_answer() const { return last_answer_; }
+  bool hold_valid() const { return permit_ != 0; }
+  std::uint64_t permit() const { return permit_; }
+  std::uint64_t version(const std::string& key) const;
+  wire::Guard guard(const std::string& key) const { return {key, version(key)}; }
+
+  void submit(Transaction transaction);
+  // Calls back once the replica holds everything written before this call, or with false.
+  void barrier(Ms now, Ms give_up, std::function<void(Ms now, bool ok)> done);
+  void read(const std::string& key, OutcomeHandler done);
+  std::size_t queued() const { return queue_.size(); }
+  // Live controllers share the rates.
+  void set_sharers(int controllers) { sharers_ = controllers < 1 ? 1 : controllers; }
+
+ private:
+  struct Barrier {
+    Ms give_up;
+    std::function<void(Ms, bool)> done;
+  };
+  struct Waiting {
+    std::uint64_t revision;
+    Barrier barrier;
+  };
+
+  void load_next(Ms now);
+  void open_watch(Ms now);
+  void on_watch(Ms now, std::uint64_t generation, const Outcome& outcome);
+  void flush(Ms now);
+  void send_group(Ms now, std::vector<Transaction> group);
+  void on_group(Ms now, std::vector<Transaction> group, const Outcome& outcome);
+  void send_barrier(Ms now);
+  void release_barriers(Ms now);
+  void keep_hold(Ms now);
+  void note(Ms now, const Outcome& outcome);
+  void apply(Ms now, const wire::StoredItem& item);
+  void call(std::string method, std::string path, std::string body, OutcomeHandler done);
+  double share(double rate) const { return rate / sharers_; }
+
+  const Settings& settings_;
+  Send send_;
+  Apply apply_;
+  Log log_;
+  int sharers_;
+
+  std::unordered_map<std::string, std::uint64_t> versions_;
+  std::unordered_map<std::string, std::uint64_t> removed_;  // key -> revision, until watched past
+
+  bool loaded_ = false;
+  bool loading_ = false;
+  std::size_t load_prefix_ = 0;
+  std::string load_after_;
+  std::uint64_t load_revision_ = 0;
+  std::set<std::string> load_seen_;
+  Ms load_retry_at_ = 0;
+
+  std::uint64_t watched_ = 0;
+  std::uint64_t watch_generation_ = 0;
+  bool watching_ = false;
+  Ms watch_opened_ = 0, watch_at_ = 0;
+
+  std::deque<Transaction> queue_;
+  int in_flight_ = 0;
+  Ms next_transaction_ = 0, paused_until_ = 0;
+  double write_tokens_ = 0;
+  Ms write_refilled_ = 0;
+
+  std::vector<Barrier> barriers_;      // to be read
+  std::vector<Waiting> barrier_wait_;  // read, waiting for the watch
+  bool barrier_in_flight_ = false;
+  Ms next_barrier_ = 0;
+
+  std::uint64_t permit_ = 0;
+  bool hold_in_flight_ = false;
+  Ms hold_at_ = 0;
+
+  Ms last_answer_ = 0;   // any real answer
+  Ms last_failure_ = 0;  // 503 or none
+};
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,74 @@
+// What goes into the core and what comes out of it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace puffinhaven::core {
+
+using Ms = std::int64_t;  // milliseconds of the steady clock, unless named otherwise
+
+struct Team {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: none
+};
+
+struct Objective {
+  std::string kind, job_class;
+  double share = 0, times = 0, within_s = 0;
+};
+
+struct Peer {
+  std::string name, zone, address;
+};
+
+struct Settings {
+  std::string name, zone;
+  std::vector<Peer> peers;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  int controllers = 1;
+  double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
+  double state_rps = 0, state_write_rps = 0, value_kb = 0;
+  int txn_ops = 0;
+  double cloud_rps = 0, list_lag_s = 0;
+};
+
+enum class Target : std::uint8_t { state, cloud, worker };
+
+// A request that the core wants sent. Its outcome comes back with the same number.
+struct Call {
+  std::uint64_t id = 0;
+  Target target = Target::state;
+  std::string address;  // workers only
+  std::string method, path, body;
+  Ms timeout = 0;
+};
+
+// status 0: no answer; the request may have been executed or may still be.
+struct Outcome {
+  int status = 0;
+  std::string body;
+};
+using OutcomeHandler = std::function<void(Ms now, const Outcome&)>;
+
+struct Request {
+  std::string method, path, body;
+};
+
+struct Answer {
+  std::uint64_t request = 0;
+  int status = 0;
+  std::string body;
+  int retry_after_s = 0;  // 0: none
+};
+
+enum class LogLevel : std::uint8_t { debug, info, error };
+struct LogLine {
+  LogLevel level;
+  std::string text;
+};
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/workers.cpp
@@ -0,0 +1,498 @@
+// Machines of our part: reports, leases, commands, and what proves that a task is gone.
+#include <algorithm>
+#include <cmath>
+
+#include "core/constants.h"
+#include "core/controller.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+namespace {
+Ms ms(double seconds) { return static_cast<Ms>(seconds * 1000.0); }
+constexpr Ms kLookEveryMs = 100;  // between looks at silent machines; a tenth of a report interval
+}  // namespace
+
+Ms Controller::silent_after() const { return ms(settings_.report_s * k::kSilentIntervals); }
+
+bool Controller::usable(Ms now, const Machine& m) const {
+  const auto* record = replica_.machine(m.id);
+  return record && record->standing == wire::MachineStanding::ready &&
+         record->session == m.session && m.sequence > 0 && m.touched && !m.notice &&
+         now - m.heard_at < silent_after() && now >= m.no_room_until;
+}
+
+// ---- reports ----
+
+void Controller::on_report(Ms now, std::uint64_t request, const std::string& body) {
+  wire::MachineReport report;
+  if (!wire::parse_report(body, report)) {
+    answer(request, 400, wire::error_body("malformed report"));
+    return;
+  }
+  if (!store_.loaded() || !view_known_ || superseded(now)) {
+    decline(request, k::kRetryAfterS);
+    return;
+  }
+  if (Membership::epoch_of(report.token) > membership_.epoch()) {
+    // Somebody acts on a newer view than we know.
+    newest_epoch_ = std::max(newest_epoch_, Membership::epoch_of(report.token));
+    decline(request, k::kRetryAfterS);
+    return;
+  }
+  const std::string& owner = membership_.machine_owner(report.machine, report.zone);
+  if (owner != settings_.name) {
+    if (owner.empty()) {
+      decline(request, k::kRetryAfterS);
+    } else {
+      answer(request, 421, wire::redirect_body(owner));
+    }
+    return;
+  }
+  if (!ready()) {
+    decline(request, k::kRetryAfterS);
+    return;
+  }
+  const auto* record = replica_.machine(report.machine);
+  if (record && record->standing == wire::MachineStanding::gone) {
+    decline(request, k::kRetryAfterS);  // a late copy
+    return;
+  }
+  auto [it, added] = machines_.try_emplace(report.machine);
+  Machine& m = it->second;
+  if (added) {
+    m.id = report.machine;
+    m.owner_since = membership_.epoch();
+  }
+  take_report(now, m, report);
+  const auto list = commands(now, m);
+  const std::uint64_t given = token(m);
+  m.lease_from = std::max(m.lease_from, now);
+  answer(request, 200, wire::report_answer(given, list));
+}
+
+void Controller::take_report(Ms now, Machine& m, const wire::MachineReport& report) {
+  if (std::pair(report.session, report.sequence) <= std::pair(m.session, m.sequence) &&
+      m.sequence > 0)
+    return;  // late: says nothing new
+  if (report.session < m.session) return;
+  if (report.session > m.session) {
+    m.tasks.clear();
+    m.halts.clear();
+    m.unseen_starts.clear();
+    m.images.clear();
+  }
+  const bool new_address = m.address != report.address;
+  m.session = report.session;
+  m.sequence = report.sequence;
+  m.address = report.address;
+  m.type = report.type;
+  m.zone = report.zone;
+  m.spot = report.spot;
+  m.heard_at = now;
+  m.orders_failed = 0;
+  m.token_seen = std::max(m.token_seen, report.token);
+  if (report.token >= Membership::token(m.owner_since, 0)) m.touched = true;
+  m.notice = report.notice_s.has_value();
+  if (m.notice) m.notice_ends = now + ms(*report.notice_s);
+  std::map<wire::TaskId, Seen> tasks;
+  for (const auto& t : report.tasks) {
+    Seen s;
+    s.attempt = t.attempt;
+    s.state = t.state;
+    s.cause = t.cause;
+    s.saved = t.saved;
+    auto old = m.tasks.find(t.task);
+    const bool same = old != m.tasks.end() && old->second.attempt == t.attempt;
+    if (t.state == wire::TaskState::running) {
+      s.running_since = same && old->second.running_since ? old->second.running_since : now;
+    }
+    auto job = replica_.jobs().find(t.task.job);
+    if (t.state != wire::TaskState::exited && t.state != wire::TaskState::fetching &&
+        job != replica_.jobs().end()) {
+      const auto& image = job->second.record.spec.image;
+      if (std::find(m.images.begin(), m.images.end(), image) == m.images.end()) {
+        m.images.push_back(image);
+        if (m.images.size() > 16) m.images.erase(m.images.begin());
+      }
+    }
+    auto start = m.unseen_starts.find(t.task);
+    if (start != m.unseen_starts.end()) m.unseen_starts.erase(start);
+    // The same task may be listed twice: an exited attempt and its successor.
+    auto [at, fresh] = tasks.emplace(t.task, s);
+    if (!fresh && at->second.state == wire::TaskState::exited) at->second = s;
+  }
+  m.tasks = std::move(tasks);
+  const auto* record = replica_.machine(m.id);
+  if (!record || record->session != m.session || new_address || record->address != m.address)
+    write_machine(now, m, record ? record->standing : wire::MachineStanding::ready);
+  reconcile(now, m);
+  dirty_ = true;
+}
+
+void Controller::write_machine(Ms now, Machine& m, wire::MachineStanding standing) {
+  if (m.record_busy || !can_write(now)) return;
+  wire::MachineRecord record;
+  record.address = m.address;
+  record.type = m.type;
+  record.zone = m.zone;
+  record.spot = m.spot;
+  record.standing = standing;
+  record.session = m.session;
+  const std::string key = std::string(wire::kMachinePrefix) + m.id;
+  Transaction t;
+  t.guards = {view_guard(), store_.guard(key)};
+  t.writes = {{key, encode(record), std::nullopt}};
+  m.record_busy = true;
+  t.done = [this, id = m.id](Ms at, Committed result, const auto&) {
+    auto release = [this, id](Ms) {
+      auto it = machines_.find(id);
+      if (it != machines_.end()) it->second.record_busy = false;
+      dirty_ = true;
+    };
+    if (result == Committed::yes) {
+      release(at);
+    } else {
+      settle(at, release);
+    }
+  };
+  store_.submit(std::move(t));
+}
+
+bool Controller::unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const {
+  auto job = replica_.jobs().find(ref.range.job);
+  if (job == replica_.jobs().end() || !job->second.known || job->second.record.cancelled)
+    return true;
+  const auto& spec = job->second.record.spec;
+  if (auto h = m.halts.find({ref.range.job, ref.index});
+      h != m.halts.end() && h->second.first == p.attempt)
+    return true;
+  if (!spec.gang) return false;
+  const auto* range = replica_.range(ref.range);
+  if (!range || range->stopping) return true;
+  // Placements of a gang are written together: a part of them means that one was lost. Once it is
+  // done, what is left exits by itself.
+  return range->placed.size() < spec.tasks && range->done_count() == 0;
+}
+
+// A recorded task is gone when its machine, under a token that outruns every start sent for it,
+// no longer lists it, or lists it as exited, or has moved to a later session.
+void Controller::reconcile(Ms now, Machine& m) {
+  if (m.sequence == 0) return;
+  for (const TaskRef& ref : replica_.placed_on(m.id)) {
+    const auto* p = replica_.placement(ref);
+    if (!p) continue;
+    const wire::TaskId task{ref.range.job, ref.index};
+    if (p->session < m.session) {
+      free_task(ref, p->attempt, false);
+      continue;
+    }
+    auto seen = m.tasks.find(task);
+    if (seen != m.tasks.end() && seen->second.attempt == p->attempt) {
+      if (seen->second.state == wire::TaskState::exited) on_exit(now, m, ref, seen->second);
+      continue;
+    }
+    if (!m.touched || !unwanted(m, ref, *p)) continue;
+    auto start = m.unseen_starts.find(task);
+    const std::uint64_t sent = start == m.unseen_starts.end() ? 0 : start->second;
+    if (m.token_seen > sent) {
+      // Guards against a start still in flight: it carries a token that the worker now refuses.
+      m.unseen_starts.erase(task);
+      free_task(ref, p->attempt, false);
+    }
+  }
+}
+
+bool Controller::absence_open(const Machine& m) const {
+  for (const TaskRef& ref : replica_.placed_on(m.id)) {
+    const auto* p = replica_.placement(ref);
+    if (!p || p->session != m.session || !unwanted(m, ref, *p)) continue;
+    if (!m.tasks.contains({ref.range.job, ref.index})) {
+      auto w = work_.find(ref.range);
+      if (w == work_.end() || !w->second.freed.contains(ref.index)) return true;
+    }
+  }
+  return false;
+}
+
+void Controller::free_task(const TaskRef& ref, std::uint64_t attempt, bool done) {
+  Freed& f = work_[ref.range].freed[ref.index];
+  if (f.attempt == attempt && f.done) return;
+  f = {attempt, done};
+  dirty_ = true;
+}
+
+void Controller::on_exit(Ms now, Machine& m, const TaskRef& ref, const Seen& seen) {
+  auto w = work_.find(ref.range);
+  if (w != work_.end()) {
+    auto f = w->second.freed.find(ref.index);
+    if (f != w->second.freed.end() && f->second.attempt == seen.attempt) return;  // counted
+  }
+  free_task(ref, seen.attempt, seen.cause == wire::ExitCause::done);
+  m.halts.erase({ref.range.job, ref.index});
+  switch (seen.cause) {
+    case wire::ExitCause::done:
+      health_.completed(m.id, ref.range.job);
+      break;
+    case wire::ExitCause::error:
+      log(LogLevel::info,
+          "task " + wire::task_name(ref.range.job, ref.index) + " failed on " + m.id);
+      if (health_.failed(now, m.id, ref.range.job)) {
+        const auto* record = replica_.machine(m.id);
+        if (record && record->standing == wire::MachineStanding::ready) {
+          log(LogLevel::info, "machine " + m.id + " is sick");
+          write_machine(now, m, wire::MachineStanding::sick);
+        }
+      }
+      break;
+    case wire::ExitCause::no_room:
+    case wire::ExitCause::busy:
+    case wire::ExitCause::unknown:
+      log(LogLevel::info,
+          "start of " + wire::task_name(ref.range.job, ref.index) + " refused by " + m.id);
+      m.no_room_until = now + k::kNoRoomPauseMs;
+      break;
+    default:
+      break;
+  }
+}
+
+// ---- commands ----
+
+std::vector<wire::Command> Controller::commands(Ms now, Machine& m) {
+  std::vector<wire::Command> out;
+  const auto* type = replica_.type(m.type);
+  double cpus = type ? type->cpus : 1e9, gpus = type ? type->gpus : 1e9,
+         memory = type ? type->memory_gb : 1e9;
+  bool clears = false;
+  // What the worker lists.
+  for (const auto& [task, seen] : m.tasks) {
+    if (out.size() >= k::kCommandsPerMessage) break;
+    auto job = replica_.jobs().find(task.job);
+    const Job* known = job == replica_.jobs().end() ? nullptr : &job->second;
+    const wire::Placement* p = nullptr;
+    TaskRef ref;
+    if (known) {
+      for (const auto& [number, r] : known->ranges) {
+        if (task.index < r.begin || task.index >= r.end) continue;
+        auto at = r.placed.find(task.index);
+        if (at != r.placed.end() && at->second.machine == m.id &&
+            at->second.attempt == seen.attempt && at->second.session == m.session) {
+          p = &at->second;
+          ref = {{task.job, number}, task.index};
+        }
+      }
+    }
+    if (seen.state == wire::TaskState::exited) {
+      if (!p) {
+        out.push_back({wire::CommandKind::forget, task, seen.attempt, 0});
+        clears = true;
+      }
+      continue;
+    }
+    double grace = -1;
+    const bool saves = known && known->known && known->record.spec.checkpoint_s > 0;
+    if (!p) {
+      grace = 0;  // not recorded: must not run
+    } else if (unwanted(m, ref, *p)) {
+      auto h = m.halts.find(task);
+      if (known->known && !known->record.cancelled && h != m.halts.end() &&
+          h->second.first == seen.attempt) {
+        grace = h->second.second;
+      } else if (known->known && !known->record.cancelled && known->record.spec.gang) {
+        grace = saves ? known->record.spec.save_s + settings_.gang_peer_s : 0;
+      } else {
+        grace = 0;
+      }
+    }
+    bool leaves = false;
+    if (grace >= 0) {
+      // Saving goes on undisturbed unless it is of no use any more.
+      if (seen.state != wire::TaskState::saving || grace == 0)
+        out.push_back({wire::CommandKind::stop, task, seen.attempt, grace});
+      leaves = grace == 0 || !saves || seen.state == wire::TaskState::fetching ||
+               seen.state == wire::TaskState::waiting;
+    }
+    if (!leaves && known) {
+      const auto& spec = known->record.spec;
+      cpus -= spec.cpus;
+      gpus -= spec.gpus;
+      memory -= spec.memory_gb;
+    }
+  }
+  if (clears && token(m) <= m.start_token) {
+    // A copy of a start for what is cleared may still be on its way; the new token refuses it.
+    ++m.fence;
+  }
+  // What is recorded and not listed. Nothing is started while the state service is silent.
+  if (can_write(now) && m.sequence > 0) {
+    constexpr double slack = 1e-6;
+    for (const TaskRef& ref : replica_.placed_on(m.id)) {
+      if (out.size() >= k::kCommandsPerMessage) break;
+      const auto* p = replica_.placement(ref);
+      const Job* job = replica_.job(ref.range.job);
+      if (!p || !job || p->session != m.session || unwanted(m, ref, *p)) continue;
+      const wire::TaskId task{ref.range.job, ref.index};
+      auto seen = m.tasks.find(task);
+      if (seen != m.tasks.end() && seen->second.attempt == p->attempt) continue;
+      auto w = work_.find(ref.range);
+      if (w != work_.end()) {
+        auto f = w->second.freed.find(ref.index);
+        if (f != w->second.freed.end() && f->second.attempt == p->attempt) continue;
+      }
+      const auto& spec = job->record.spec;
+      if (cpus + slack < spec.cpus || gpus + slack < spec.gpus || memory + slack < spec.memory_gb)
+        continue;  // waits for what is being stopped
+      cpus -= spec.cpus;
+      gpus -= spec.gpus;
+      memory -= spec.memory_gb;
+      out.push_back({wire::CommandKind::start, task, p->attempt, 0});
+      m.start_token = token(m);
+      m.unseen_starts[task] = token(m);
+    }
+  }
+  // A recorded task that is not wanted and not listed: a higher token settles whether it can still
+  // start.
+  if (absence_open(m) && token(m) <= m.start_token) ++m.fence;
+  return out;
+}
+
+bool Controller::direct_needed(const Machine& m, const std::vector<wire::Command>& list) const {
+  if (!m.touched) return true;
+  if (std::any_of(list.begin(), list.end(),
+                  [](const auto& c) { return c.kind != wire::CommandKind::forget; }))
+    return true;
+  return absence_open(m);
+}
+
+void Controller::kick(Ms now, Machine& m) {
+  if (!ready() || m.address.empty() || m.session == 0 || superseded(now)) return;
+  if (m.orders_in_flight) {
+    m.kick_again = true;
+    return;
+  }
+  if (now < m.orders_after) return;
+  const auto list = commands(now, m);
+  if (!direct_needed(m, list)) return;
+  m.orders_in_flight = true;
+  m.kick_again = false;
+  call(Target::worker, m.address, "POST", wire::kOrdersPath,
+       wire::orders_body(token(m), m.session, list), k::kOrdersTimeoutMs,
+       [this, id = m.id, epoch = m.owner_since](Ms at, const Outcome& outcome) {
+         on_orders(at, id, epoch, outcome);
+       });
+}
+
+void Controller::on_orders(Ms now, const std::string& id, std::uint64_t epoch,
+                           const Outcome& outcome) {
+  auto it = machines_.find(id);
+  if (it == machines_.end()) return;
+  Machine& m = it->second;
+  m.orders_in_flight = false;
+  if (m.owner_since != epoch) return;
+  wire::MachineReport report;
+  if ((outcome.status == 200 || outcome.status == 409) &&
+      wire::parse_report(outcome.body, report) && report.machine == id) {
+    m.orders_failed = 0;
+    take_report(now, m, report);
+    m.orders_after = outcome.status == 200 ? now : now + k::kOrdersRetryMs / 4;
+  } else {
+    // May still be executed: everything sent from now on outruns it.
+    ++m.fence;
+    ++m.orders_failed;
+    m.orders_after = now + k::kOrdersRetryMs;
+  }
+  if (m.kick_again) kick(now, m);
+}
+
+// ---- leases ----
+
+bool Controller::others_yielded(std::uint64_t epoch) const {
+  const auto& view = replica_.view();
+  if (!view.departed.empty()) return false;
+  return std::all_of(view.live.begin(), view.live.end(), [&](const auto& member) {
+    if (member.first == settings_.name) return true;
+    auto live = replica_.live().find(member.first);
+    return live != replica_.live().end() && live->second.incarnation == member.second &&
+           live->second.epoch >= epoch;
+  });
+}
+
+void Controller::learn_lease(Ms now, Machine& m) const {
+  if (m.lease_known || !(m.touched || others_yielded(m.owner_since))) return;
+  m.lease_known = true;
+  m.lease_from = std::max(m.lease_from, now);
+}
+
+bool Controller::lease_over(Ms now, const Machine& m) const {
+  return m.lease_known &&
+         static_cast<double>(now - m.lease_from) >
+             settings_.lease_s * 1000.0 * (1.0 + k::kClockDrift) + k::kLeaseMarginMs;
+}
+
+void Controller::watch_machines(Ms now) {
+  if (!ready() || now < machines_at_) return;
+  machines_at_ = now + kLookEveryMs;
+  std::size_t silent = 0, heard = 0;
+  for (const auto& [id, m] : machines_) {
+    if (m.session == 0) continue;
+    (now - m.heard_at > silent_after() ? silent : heard) += 1;
+  }
+  for (auto& [id, m] : machines_) {
+    if (m.session == 0) continue;
+    learn_lease(now, m);
+    const auto* record = replica_.machine(id);
+    const bool gone = record && record->standing == wire::MachineStanding::gone;
+    if (gone || lease_over(now, m)) {
+      // Every task it had is gone, and a start that is still on its way names an older session.
+      for (const TaskRef& ref : replica_.placed_on(id)) {
+        const auto* p = replica_.placement(ref);
+        if (p && (gone || p->session <= m.session)) free_task(ref, p->attempt, false);
+      }
+      m.tasks.clear();
+      // Replaced, unless it is we who hear nobody.
+      if (!gone && record && record->standing != wire::MachineStanding::lost && heard >= silent &&
+          now - m.heard_at > silent_after())
+        write_machine(now, m, wire::MachineStanding::lost);
+      continue;
+    }
+    if (record && record->standing == wire::MachineStanding::sick) {
+      // What still runs there is stopped; the machine is returned once it is empty.
+      for (const auto& [task, seen] : m.tasks) {
+        const Job* job = replica_.job(task.job);
+        if (!job || seen.state == wire::TaskState::exited || m.halts.contains(task)) continue;
+        m.halts[task] = {seen.attempt, job->record.spec.save_s};
+        m.kick_again = true;
+      }
+    }
+    if (m.notice && record && record->standing == wire::MachineStanding::ready)
+      write_machine(now, m, wire::MachineStanding::draining);
+    if (m.notice) {
+      for (const auto& [task, seen] : m.tasks) {
+        const Job* job = replica_.job(task.job);
+        if (!job || seen.state == wire::TaskState::exited || m.halts.contains(task)) continue;
+        const auto& spec = job->record.spec;
+        const double left_s = static_cast<double>(m.notice_ends - now) / 1000.0;
+        const double ran =
+            seen.running_since ? static_cast<double>(now - seen.running_since) / 1000.0 : 0;
+        const double need = remaining(spec.estimate_s, ran);
+        if (spec.gang) {
+          for (const auto& [number, r] : job->ranges) work_[{task.job, number}].want_stop = true;
+          dirty_ = true;
+          continue;
+        }
+        // It may end in time; what saves is stopped when just enough is left for that.
+        if (need < left_s - 1.0) continue;
+        if (spec.checkpoint_s > 0 && left_s > spec.save_s + 2.0) continue;
+        m.halts[task] = {seen.attempt, spec.checkpoint_s > 0 ? spec.save_s : 0.0};
+      }
+    }
+    const bool idle_probe = now - m.heard_at > silent_after() && now >= m.orders_after &&
+                            !replica_.placed_on(id).empty();
+    if (idle_probe && !m.orders_in_flight) m.orders_after = now;
+    if (m.kick_again || now >= m.orders_after) kick(now, m);
+  }
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/net/address.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace puffinhaven::net {
+
+// "10.0.0.1:8080" as an endpoint; there are no name look-ups.
+std::optional<asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
+
+}  // namespace puffinhaven::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,206 @@
+#include "net/http_client.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+
+#include "net/address.h"
+#include "net/limits.h"
+
+namespace puffinhaven::net {
+
+using asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+class HttpClient::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(HttpClient& client, std::string address)
+      : client_(client), address_(std::move(address)), socket_(client.io_), timer_(client.io_) {}
+
+  void start(const Request& request, Done done, bool fresh) {
+    done_ = std::move(done);
+    out_ = request.method + " " + request.path + " HTTP/1.1\r\nHost: " + address_ + "\r\n";
+    if (!request.body.empty() || request.method != "GET") {
+      out_ += "Content-Type: application/json\r\nContent-Length: " +
+              std::to_string(request.body.size()) + "\r\n";
+    }
+    out_ += "\r\n" + request.body;
+    status_ = 0;
+    body_.clear();
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    timer_.expires_after(milliseconds(request.timeout_ms));
+    timer_.async_wait([self = shared_from_this(), turn = ++turn_](std::error_code error) {
+      if (!error && turn == self->turn_ && self->done_) self->fail();
+    });
+    if (!fresh) {
+      write();
+      return;
+    }
+    const auto endpoint = parse_endpoint(address_);
+    if (!endpoint) {
+      asio::post(client_.io_, [self = shared_from_this()] { self->fail(); });
+      return;
+    }
+    socket_.async_connect(*endpoint, [self = shared_from_this()](std::error_code error) {
+      if (error) {
+        self->fail();
+        return;
+      }
+      std::error_code ignored;
+      self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->read();
+      self->write();
+    });
+  }
+
+  bool open() const { return !closed_; }
+  Clock::time_point since() const { return since_; }
+  void close() {
+    closed_ = true;
+    std::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+  }
+
+ private:
+  void fail() {
+    close();
+    finish(0, "");
+  }
+
+  void finish(int status, std::string body) {
+    ++turn_;
+    timer_.cancel();
+    if (!done_) return;
+    Done done = std::move(done_);
+    done_ = nullptr;
+    done(status, std::move(body));
+  }
+
+  void write() {
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self = shared_from_this()](std::error_code error, std::size_t) {
+                        if (error) self->fail();
+                      });
+  }
+
+  // Always reading, also while idle: so the other side's close is seen before the next use.
+  void read() {
+    socket_.async_read_some(asio::buffer(buffer_),
+                            [self = shared_from_this()](std::error_code error, std::size_t n) {
+                              self->take(error, n);
+                            });
+  }
+
+  void take(std::error_code error, std::size_t n) {
+    if (closed_) return;
+    if (!done_) {  // idle: nothing may come but the end
+      close();
+      return;
+    }
+    if (error) {
+      http_parser_execute(&parser_, &settings(), nullptr, 0);
+      if (!complete_) {
+        fail();
+        return;
+      }
+    } else {
+      http_parser_execute(&parser_, &settings(), buffer_.data(), n);
+      if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade) {
+        fail();
+        return;
+      }
+    }
+    if (!complete_) {
+      read();
+      return;
+    }
+    complete_ = false;
+    const bool keep = !error && http_should_keep_alive(&parser_) != 0;
+    auto& idle = client_.idle_[address_];
+    if (keep && idle.size() < limits::kClientIdlePerAddress) {
+      since_ = Clock::now();
+      idle.push_back(shared_from_this());
+      read();
+    } else {
+      close();
+    }
+    finish(status_, std::move(body_));
+  }
+
+  static const http_parser_settings& settings() {
+    static const http_parser_settings s = [] {
+      http_parser_settings x;
+      http_parser_settings_init(&x);
+      x.on_headers_complete = [](http_parser* p) {
+        static_cast<Connection*>(p->data)->status_ = static_cast<int>(p->status_code);
+        return 0;
+      };
+      x.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        auto& body = static_cast<Connection*>(p->data)->body_;
+        if (body.size() + n > limits::kResponseBytes) return 1;
+        body.append(at, n);
+        return 0;
+      };
+      x.on_message_complete = [](http_parser* p) {
+        static_cast<Connection*>(p->data)->complete_ = true;
+        return 0;
+      };
+      return x;
+    }();
+    return s;
+  }
+
+  HttpClient& client_;
+  std::string address_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  http_parser parser_{};
+  std::array<char, limits::kReadBytes> buffer_{};
+  std::string out_, body_;
+  int status_ = 0;
+  bool complete_ = false, closed_ = false;
+  std::uint64_t turn_ = 0;
+  Done done_;
+  Clock::time_point since_;
+};
+
+HttpClient::HttpClient(asio::io_context& io) : io_(io), sweeper_(io) { sweep(); }
+HttpClient::~HttpClient() = default;
+
+void HttpClient::sweep() {
+  sweeper_.expires_after(milliseconds(limits::kSweepMs));
+  sweeper_.async_wait([this](std::error_code error) {
+    if (error) return;
+    const auto oldest = Clock::now() - milliseconds(limits::kClientIdleMs);
+    for (auto& [address, list] : idle_) {
+      std::erase_if(list, [&](const auto& c) {
+        if (c->open() && c->since() >= oldest) return false;
+        c->close();
+        return true;
+      });
+    }
+    std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+    sweep();
+  });
+}
+
+void HttpClient::send(Request request, Done done) {
+  auto& idle = idle_[request.address];
+  while (!idle.empty()) {
+    auto connection = idle.back();
+    idle.pop_back();
+    if (!connection->open()) continue;
+    connection->start(request, std::move(done), false);
+    return;
+  }
+  std::make_shared<Connection>(*this, request.address)->start(request, std::move(done), true);
+}
+
+}  // namespace puffinhaven::net
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,48 @@
+// HTTP/1.1 server for users, workers and health checks.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace puffinhaven::net {
+
+class HttpServer {
+ public:
+  struct Request {
+    std::string method, path, body;
+  };
+  using Handler = std::function<void(std::uint64_t id, Request)>;
+
+  HttpServer(asio::io_context& io, const asio::ip::tcp::endpoint& listen, int max_connections,
+             Handler handler);
+  ~HttpServer();
+
+  // Answers a request once. Unknown numbers (the client has gone) are ignored.
+  void answer(std::uint64_t id, int status, const std::string& body, int retry_after_s);
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  class Connection;
+  void accept();
+  void sweep();
+  void drop(std::uint64_t connection);
+
+  asio::io_context& io_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer sweeper_;
+  asio::steady_timer accept_pause_;
+  int max_connections_;
+  Handler handler_;
+  std::uint64_t next_ = 1;
+  std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
+  std::unordered_map<std::uint64_t, std::uint64_t> requests_;  // request -> connection
+};
+
+}  // namespace puffinhaven::net
--- /dev/null
+++ b/src/net/limits.h
@@ -0,0 +1,35 @@
+// Constants of the network layer, each with unit and reason.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace puffinhaven::net::limits {
+
+// Bytes of a request body (PROTOCOL: 64 KiB).
+constexpr std::size_t kBodyBytes = 64 * 1024;
+// Bytes of a request's line and headers; ours and our callers' take a few hundred.
+constexpr std::size_t kHeaderBytes = 16 * 1024;
+// Bytes of a response that we accept. A watch may bring many changes at once.
+constexpr std::size_t kResponseBytes = 8 * 1024 * 1024;
+// Bytes read at once.
+constexpr std::size_t kReadBytes = 8 * 1024;
+// Milliseconds after which a connection of a client that sends nothing is closed. Users poll every
+// 5 s and workers report every few seconds, so one this quiet has been given up.
+constexpr std::int64_t kServerIdleMs = 90'000;
+// Milliseconds in which a request that has begun must be complete.
+constexpr std::int64_t kServerRequestMs = 20'000;
+// Milliseconds between looks for connections to close.
+constexpr std::int64_t kSweepMs = 2'000;
+// Milliseconds for which our idle connections to others are kept for reuse.
+constexpr std::int64_t kClientIdleMs = 15'000;
+// Idle connections kept per address.
+constexpr std::size_t kClientIdlePerAddress = 4;
+// Sockets left for our own calls, links and listeners, out of the limit on all sockets.
+constexpr int kReservedSockets = 150;
+// Milliseconds before a peer link that failed is tried again.
+constexpr std::int64_t kPeerRetryMs = 1'000;
+// Bytes that may wait on a peer link; more are dropped, since hints may be lost.
+constexpr std::size_t kPeerQueueBytes = 16 * 1024;
+
+}  // namespace puffinhaven::net::limits
--- /dev/null
+++ b/src/wire/store.cpp
@@ -0,0 +1,402 @@
+#include "wire/store.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace puffinhaven::wire {
+namespace {
+
+template <typename F>
+std::string object(F&& fill) {
+  rapidjson::StringBuffer buffer;
+  Writer w(buffer);
+  w.StartObject();
+  fill(w);
+  w.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
+void put_map(Writer& w, const char* name, const std::map<std::string, std::string>& m) {
+  w.Key(name);
+  w.StartObject();
+  for (const auto& [k, v] : m) put(w, k.c_str(), v);
+  w.EndObject();
+}
+
+bool read_map(const Json& o, const char* name, std::map<std::string, std::string>& m) {
+  m.clear();
+  const Json* v = member(o, name);
+  if (!v || !v->IsObject()) return false;
+  for (const auto& f : v->GetObject()) {
+    if (!f.value.IsString()) return false;
+    m.emplace(std::string(f.name.GetString(), f.name.GetStringLength()),
+              std::string(f.value.GetString(), f.value.GetStringLength()));
+  }
+  return true;
+}
+
+std::string hex_of(const std::vector<bool>& bits) {
+  static constexpr char digits[] = "0123456789abcdef";
+  std::string out((bits.size() + 3) / 4, '0');
+  for (std::size_t i = 0; i < out.size(); ++i) {
+    unsigned v = 0;
+    for (std::size_t b = 0; b < 4 && i * 4 + b < bits.size(); ++b)
+      v |= static_cast<unsigned>(bits[i * 4 + b]) << b;
+    out[i] = digits[v];
+  }
+  return out;
+}
+
+bool bits_of(std::string_view hex, std::size_t count, std::vector<bool>& bits) {
+  if (hex.size() != (count + 3) / 4) return false;
+  bits.assign(count, false);
+  for (std::size_t i = 0; i < hex.size(); ++i) {
+    unsigned v = 0;
+    auto [end, error] = std::from_chars(hex.data() + i, hex.data() + i + 1, v, 16);
+    if (error != std::errc{} || end != hex.data() + i + 1) return false;
+    for (std::size_t b = 0; b < 4 && i * 4 + b < count; ++b) bits[i * 4 + b] = (v >> b) & 1U;
+  }
+  return true;
+}
+
+bool read_item(const Json& o, StoredItem& out, const char* key_field) {
+  const Json* v = member(o, "v");
+  if (!v || !read(o, key_field, out.key)) return false;
+  out.value = text_of(*v);
+  return read(o, "stamp", out.version);
+}
+
+}  // namespace
+
+std::string transaction_body(const std::vector<Guard>& guards, const std::vector<Write>& writes) {
+  return object([&](Writer& w) {
+    w.Key("guards");
+    w.StartArray();
+    for (const Guard& g : guards) {
+      w.StartObject();
+      put(w, "k", g.key);
+      put(w, "stamp", g.version);
+      w.EndObject();
+    }
+    w.EndArray();
+    w.Key("writes");
+    w.StartArray();
+    for (const Write& x : writes) {
+      w.StartObject();
+      if (x.value) {
+        put(w, "write", x.key);
+        w.Key("v");
+        w.RawValue(x.value->data(), x.value->size(), rapidjson::kObjectType);
+        if (x.permit) put(w, "permit", *x.permit);
+      } else {
+        put(w, "remove", x.key);
+      }
+      w.EndObject();
+    }
+    w.EndArray();
+  });
+}
+
+bool parse_revision(std::string_view body, std::uint64_t& revision) {
+  rapidjson::Document doc;
+  return parse_object(body, doc) && read(doc, "ledger", revision);
+}
+
+bool parse_conflict(std::string_view body, std::uint64_t& revision,
+                    std::vector<std::string>& failed) {
+  rapidjson::Document doc;
+  failed.clear();
+  if (!parse_object(body, doc) || !read(doc, "ledger", revision)) return false;
+  const Json* f = member(doc, "failed");
+  if (!f || !f->IsArray()) return false;
+  for (const Json& k : f->GetArray()) {
+    if (!k.IsString()) return false;
+    failed.emplace_back(k.GetString(), k.GetStringLength());
+  }
+  return true;
+}
+
+bool parse_permit(std::string_view body, std::uint64_t& permit) {
+  rapidjson::Document doc;
+  return parse_object(body, doc) && read(doc, "permit", permit);
+}
+
+std::string hold_body(std::uint64_t life_ms) {
+  return object([&](Writer& w) { put(w, "lifeMs", life_ms); });
+}
+
+bool parse_item(std::string_view body, StoredItem& out) {
+  rapidjson::Document doc;
+  return parse_object(body, doc) && read_item(doc, out, "k");
+}
+
+bool parse_page(std::string_view body, std::vector<StoredItem>& out, bool& more,
+                std::uint64_t& revision) {
+  rapidjson::Document doc;
+  if (!parse_object(body, doc) || !read(doc, "hasNext", more) || !read(doc, "ledger", revision))
+    return false;
+  const Json* pairs = member(doc, "pairs");
+  if (!pairs || !pairs->IsArray()) return false;
+  for (const Json& p : pairs->GetArray()) {
+    StoredItem item;
+    if (!read_item(p, item, "k")) return false;
+    out.push_back(std::move(item));
+  }
+  return true;
+}
+
+bool parse_events(std::string_view body, std::vector<StoredItem>& out, std::uint64_t& revision) {
+  rapidjson::Document doc;
+  if (!parse_object(body, doc) || !read(doc, "ledger", revision)) return false;
+  const Json* events = member(doc, "events");
+  if (!events) return true;
+  if (!events->IsArray()) return false;
+  for (const Json& e : events->GetArray()) {
+    StoredItem item;
+    if (member(e, "write")) {
+      if (!read_item(e, item, "write")) return false;
+    } else if (!read(e, "remove", item.key) || !read(e, "stamp", item.version)) {
+      return false;
+    }
+    out.push_back(std::move(item));
+  }
+  return true;
+}
+
+std::string item_path(std::string_view key) { return "/store/" + std::string(key); }
+
+std::string page_path(std::string_view prefix, std::string_view after, std::uint32_t most) {
+  std::string path = "/store?starts=" + std::string(prefix) + "&most=" + std::to_string(most);
+  if (!after.empty()) path += "&after=" + std::string(after);
+  return path;
+}
+
+std::string watch_path(std::uint64_t after, std::uint64_t wait_ms) {
+  return "/changes?starts=&after=" + std::to_string(after) + "&blockMs=" + std::to_string(wait_ms);
+}
+
+std::string extend_path(std::uint64_t permit) {
+  return "/holds/" + std::to_string(permit) + "/extend";
+}
+
+std::string encode(const ViewRecord& r) {
+  return object([&](Writer& w) {
+    put(w, "epoch", r.epoch);
+    put_map(w, "live", r.live);
+    put_map(w, "departed", r.departed);
+  });
+}
+
+bool decode(std::string_view text, ViewRecord& r) {
+  rapidjson::Document doc;
+  return parse_object(text, doc) && read(doc, "epoch", r.epoch) && read_map(doc, "live", r.live) &&
+         read_map(doc, "departed", r.departed);
+}
+
+std::string encode(const LiveRecord& r) {
+  return object([&](Writer& w) {
+    put(w, "incarnation", r.incarnation);
+    put(w, "epoch", r.epoch);
+    put_bool(w, "deaf", r.deaf);
+  });
+}
+
+bool decode(std::string_view text, LiveRecord& r) {
+  rapidjson::Document doc;
+  return parse_object(text, doc) && read(doc, "incarnation", r.incarnation) &&
+         read(doc, "epoch", r.epoch) && read(doc, "deaf", r.deaf);
+}
+
+std::string encode(const JobRecord& r) {
+  return object([&](Writer& w) {
+    write_job_fields(w, r.spec);
+    w.Key("submittedMs");
+    w.Int64(r.submitted_ms);
+    put_bool(w, "cancelled", r.cancelled);
+  });
+}
+
+bool decode(std::string_view text, JobRecord& r) {
+  rapidjson::Document doc;
+  if (!parse_object(text, doc) || !parse_job(static_cast<const Json&>(doc), r.spec).empty())
+    return false;
+  const Json* t = member(doc, "submittedMs");
+  if (!t || !t->IsInt64()) return false;
+  r.submitted_ms = t->GetInt64();
+  return read(doc, "cancelled", r.cancelled);
+}
+
+std::uint32_t RangeRecord::done_count() const {
+  return static_cast<std::uint32_t>(std::count(done.begin(), done.end(), true));
+}
+
+std::string encode(const RangeRecord& r) {
+  return object([&](Writer& w) {
+    put(w, "o", r.owner);
+    put(w, "b", std::uint64_t{r.begin});
+    put(w, "e", std::uint64_t{r.end});
+    put(w, "d", hex_of(r.done));
+    put(w, "n", r.next_attempt);
+    if (r.stopping) put_bool(w, "s", true);
+    // Placements by machine, session and grant, so that a value holds several hundred.
+    std::map<std::tuple<std::string, std::uint64_t, std::string>,
+             std::vector<std::pair<std::uint32_t, std::uint64_t>>>
+        groups;
+    for (const auto& [task, p] : r.placed)
+      groups[{p.machine, p.session, p.grant}].emplace_back(task, p.attempt);
+    w.Key("p");
+    w.StartArray();
+    for (const auto& [where, tasks] : groups) {
+      w.StartArray();
+      put_text(w, std::get<0>(where));
+      w.Uint64(std::get<1>(where));
+      put_text(w, std::get<2>(where));
+      for (const auto& [task, attempt] : tasks) {
+        w.Uint(task);
+        w.Uint64(attempt);
+      }
+      w.EndArray();
+    }
+    w.EndArray();
+  });
+}
+
+bool decode(std::string_view text, RangeRecord& r) {
+  rapidjson::Document doc;
+  std::string bits;
+  if (!parse_object(text, doc) || !read(doc, "o", r.owner) || !read(doc, "b", r.begin) ||
+      !read(doc, "e", r.end) || r.end <= r.begin || !read(doc, "d", bits) ||
+      !bits_of(bits, r.end - r.begin, r.done) || !read(doc, "n", r.next_attempt))
+    return false;
+  r.stopping = false;
+  read(doc, "s", r.stopping);
+  r.placed.clear();
+  const Json* groups = member(doc, "p");
+  if (!groups || !groups->IsArray()) return false;
+  for (const Json& g : groups->GetArray()) {
+    if (!g.IsArray() || g.Size() < 3 || g.Size() % 2 == 0 || !g[0].IsString() || !g[1].IsUint64() ||
+        !g[2].IsString())
+      return false;
+    Placement p;
+    p.machine = g[0].GetString();
+    p.session = g[1].GetUint64();
+    p.grant = g[2].GetString();
+    for (rapidjson::SizeType i = 3; i < g.Size(); i += 2) {
+      if (!g[i].IsUint() || !g[i + 1].IsUint64()) return false;
+      const std::uint32_t task = g[i].GetUint();
+      if (task < r.begin || task >= r.end) return false;
+      p.attempt = g[i + 1].GetUint64();
+      r.placed[task] = p;
+    }
+  }
+  return true;
+}
+
+std::string encode(const MachineRecord& r) {
+  return object([&](Writer& w) {
+    put(w, "address", r.address);
+    put(w, "type", r.type);
+    put(w, "zone", r.zone);
+    put_bool(w, "spot", r.spot);
+    put(w, "standing", static_cast<std::uint64_t>(r.standing));
+    put(w, "session", r.session);
+  });
+}
+
+bool decode(std::string_view text, MachineRecord& r) {
+  rapidjson::Document doc;
+  std::uint64_t standing = 0;
+  if (!parse_object(text, doc) || !read(doc, "address", r.address) || !read(doc, "type", r.type) ||
+      !read(doc, "zone", r.zone) || !read(doc, "spot", r.spot) ||
+      !read(doc, "standing", standing) || standing > 4 || !read(doc, "session", r.session))
+    return false;
+  r.standing = static_cast<MachineStanding>(standing);
+  return true;
+}
+
+std::string encode(const RentRequest& r) {
+  return object([&](Writer& w) {
+    put(w, "type", r.type);
+    put(w, "zone", r.zone);
+    put_bool(w, "spot", r.spot);
+    put(w, "count", std::uint64_t{r.count});
+  });
+}
+
+bool decode(std::string_view text, RentRequest& r) {
+  rapidjson::Document doc;
+  return parse_object(text, doc) && read(doc, "type", r.type) && read(doc, "zone", r.zone) &&
+         read(doc, "spot", r.spot) && read(doc, "count", r.count);
+}
+
+namespace {
+void put_amounts(Writer& w, const char* name,
+                 const std::map<std::string, QuotaRecord::Amount>& amounts) {
+  w.Key(name);
+  w.StartObject();
+  for (const auto& [who, a] : amounts) {
+    w.Key(who.c_str());
+    w.StartArray();
+    w.Double(a.cpus);
+    w.Double(a.gpus);
+    w.EndArray();
+  }
+  w.EndObject();
+}
+
+bool read_amounts(const Json& o, const char* name,
+                  std::map<std::string, QuotaRecord::Amount>& out) {
+  out.clear();
+  const Json* v = member(o, name);
+  if (!v || !v->IsObject()) return false;
+  for (const auto& f : v->GetObject()) {
+    if (!f.value.IsArray() || f.value.Size() != 2 || !f.value[0].IsNumber() ||
+        !f.value[1].IsNumber())
+      return false;
+    out[f.name.GetString()] = {f.value[0].GetDouble(), f.value[1].GetDouble()};
+  }
+  return true;
+}
+}  // namespace
+
+std::string encode(const QuotaRecord& r) {
+  return object([&](Writer& w) {
+    put_amounts(w, "grants", r.grants);
+    put_amounts(w, "wanted", r.wanted);
+  });
+}
+
+bool decode(std::string_view text, QuotaRecord& r) {
+  rapidjson::Document doc;
+  return parse_object(text, doc) && read_amounts(doc, "grants", r.grants) &&
+         read_amounts(doc, "wanted", r.wanted);
+}
+
+std::string encode(const OverRecord& r) {
+  return object([&](Writer& w) {
+    put_bool(w, "done", r.done);
+    put(w, "tasks", r.tasks);
+  });
+}
+
+bool decode(std::string_view text, OverRecord& r) {
+  rapidjson::Document doc;
+  return parse_object(text, doc) && read(doc, "done", r.done) && read(doc, "tasks", r.tasks);
+}
+
+std::string job_key(std::string_view id) { return std::string(kJobPrefixKey) + std::string(id); }
+std::string over_key(std::string_view id) { return std::string(kOverPrefix) + std::string(id); }
+std::string range_key(std::string_view job, std::uint32_t number) {
+  return std::string(kRangePrefix) + std::string(job) + "/" + std::to_string(number);
+}
+
+bool parse_range_key(std::string_view key, std::string& job, std::uint32_t& number) {
+  if (!key.starts_with(kRangePrefix)) return false;
+  TaskId id;
+  if (!parse_task_name(key.substr(kRangePrefix.size()), id)) return false;
+  job = id.job;
+  number = id.index;
+  return true;
+}
+
+}  // namespace puffinhaven::wire
--- /dev/null
+++ b/src/wire/store.h
@@ -0,0 +1,158 @@
+// Messages of the state service, and the records that controllers keep in it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wire/messages.h"
+
+namespace puffinhaven::wire {
+
+// ---- the service's own messages ----
+
+struct Guard {
+  std::string key;
+  std::uint64_t version = 0;  // 0: must not exist
+};
+struct Write {
+  std::string key;
+  std::optional<std::string> value;     // JSON text; none: delete
+  std::optional<std::uint64_t> permit;  // the hold that the key is attached to
+};
+std::string transaction_body(const std::vector<Guard>& guards, const std::vector<Write>& writes);
+bool parse_revision(std::string_view body, std::uint64_t& revision);
+bool parse_conflict(std::string_view body, std::uint64_t& revision,
+                    std::vector<std::string>& failed);
+bool parse_permit(std::string_view body, std::uint64_t& permit);
+std::string hold_body(std::uint64_t life_ms);
+
+struct StoredItem {
+  std::string key;
+  std::optional<std::string> value;  // none: deleted
+  std::uint64_t version = 0;
+};
+bool parse_item(std::string_view body, StoredItem& out);
+bool parse_page(std::string_view body, std::vector<StoredItem>& out, bool& more,
+                std::uint64_t& revision);
+bool parse_events(std::string_view body, std::vector<StoredItem>& out, std::uint64_t& revision);
+
+std::string item_path(std::string_view key);
+std::string page_path(std::string_view prefix, std::string_view after, std::uint32_t most);
+std::string watch_path(std::uint64_t after, std::uint64_t wait_ms);
+constexpr const char* kTransactionPath = "/multi";
+constexpr const char* kHoldsPath = "/holds";
+std::string extend_path(std::uint64_t permit);
+
+// ---- records of puffinhaven ----
+// view              the live controllers and the epoch
+// live/NAME         a controller's hold, with its incarnation and the epoch that it acts on
+// job/ID            an accepted job that is not over
+// range/ID/N        a range of a job's tasks: finished bitmap and placements
+// machine/ID        a rented machine
+// hire/NAME         a rental request that may be under way
+// quota/TEAM        grants of a team's limit to controllers
+// catalog           the machine types as last heard from the cloud
+// over/ID           final state of a job, kept for ever
+
+struct ViewRecord {
+  std::uint64_t epoch = 0;
+  std::map<std::string, std::string> live;      // name -> incarnation
+  std::map<std::string, std::string> departed;  // may still be answering workers
+};
+std::string encode(const ViewRecord& r);
+bool decode(std::string_view text, ViewRecord& r);
+
+struct LiveRecord {
+  std::string incarnation;
+  std::uint64_t epoch = 0;
+  bool deaf = false;  // its workers cannot reach it
+};
+std::string encode(const LiveRecord& r);
+bool decode(std::string_view text, LiveRecord& r);
+
+struct JobRecord {
+  JobSpec spec;
+  std::int64_t submitted_ms = 0;  // time of day
+  bool cancelled = false;
+};
+std::string encode(const JobRecord& r);
+bool decode(std::string_view text, JobRecord& r);
+
+struct Placement {
+  std::uint64_t attempt = 0;
+  std::string machine;
+  std::uint64_t session = 0;
+  std::string grant;  // controller whose quota grant it uses
+};
+struct RangeRecord {
+  std::string job;
+  std::uint32_t number = 0;
+  std::string owner;
+  std::uint32_t begin = 0, end = 0;
+  std::vector<bool> done;  // by task - begin
+  std::map<std::uint32_t, Placement> placed;
+  std::uint64_t next_attempt = 1;
+  bool stopping = false;  // gang: every task is to be stopped together
+
+  std::uint32_t done_count() const;
+  bool complete() const { return done_count() == end - begin; }
+};
+std::string encode(const RangeRecord& r);
+bool decode(std::string_view text, RangeRecord& r);
+
+enum class MachineStanding : std::uint8_t {
+  ready,     // may be used
+  sick,      // fails what it is given: takes nothing new, to be replaced
+  draining,  // to be returned once empty
+  lost,      // silent or sick beyond its lease: to be returned now
+  gone       // the cloud confirmed that it and all on it are gone
+};
+struct MachineRecord {
+  std::string address, type, zone;
+  bool spot = false;
+  MachineStanding standing = MachineStanding::ready;
+  std::uint64_t session = 0;  // as last heard; 0: not heard yet
+};
+std::string encode(const MachineRecord& r);
+bool decode(std::string_view text, MachineRecord& r);
+
+std::string encode(const RentRequest& r);
+bool decode(std::string_view text, RentRequest& r);
+
+struct QuotaRecord {
+  struct Amount {
+    double cpus = 0, gpus = 0;
+  };
+  std::map<std::string, Amount> grants;
+  std::map<std::string, Amount> wanted;
+};
+std::string encode(const QuotaRecord& r);
+bool decode(std::string_view text, QuotaRecord& r);
+
+struct OverRecord {
+  bool done = false;  // else cancelled
+  std::uint64_t tasks = 0;
+};
+std::string encode(const OverRecord& r);
+bool decode(std::string_view text, OverRecord& r);
+
+constexpr std::string_view kViewKey = "view";
+constexpr std::string_view kCatalogKey = "catalog";
+constexpr std::string_view kLivePrefix = "live/";
+constexpr std::string_view kJobPrefixKey = "job/";
+constexpr std::string_view kRangePrefix = "range/";
+constexpr std::string_view kMachinePrefix = "machine/";
+constexpr std::string_view kHirePrefix = "hire/";
+constexpr std::string_view kQuotaPrefix = "quota/";
+constexpr std::string_view kOverPrefix = "over/";
+
+std::string job_key(std::string_view id);
+std::string over_key(std::string_view id);
+std::string range_key(std::string_view job, std::uint32_t number);
+bool parse_range_key(std::string_view key, std::string& job, std::uint32_t& number);
+
+}  // namespace puffinhaven::wire
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,202 @@
+// The pure parts of the core: prediction, sampling, membership, quota, health, fleet.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "core/constants.h"
+#include "core/fleet.h"
+#include "core/health.h"
+#include "core/membership.h"
+#include "core/placement.h"
+#include "core/quota.h"
+
+namespace puffinhaven::core {
+namespace {
+
+wire::JobSpec spec(double cpus, double estimate_s = 60) {
+  wire::JobSpec j;
+  j.id = "req-000001";
+  j.cpus = cpus;
+  j.memory_gb = 1;
+  j.image = "i";
+  j.image_gb = 2;
+  j.estimate_s = estimate_s;
+  j.tasks = 4;
+  return j;
+}
+
+Candidate machine(const std::string& id, double cpus, double free) {
+  Candidate c;
+  c.id = id;
+  c.cpus = free;
+  c.memory_gb = 64;
+  c.fetch_gb_per_s = 1;
+  if (cpus > free) c.booked.push_back({cpus - free, 0, 0, 30});
+  return c;
+}
+
+TEST(Placement, PredictionIsWaitFetchAndEstimate) {
+  const auto job = spec(4);
+  Candidate free = machine("a", 8, 8);
+  EXPECT_DOUBLE_EQ(predict(free, job), 62);
+  free.images.push_back("i");
+  EXPECT_DOUBLE_EQ(predict(free, job), 60);
+  EXPECT_DOUBLE_EQ(predict(machine("b", 8, 2), job), 92);
+  EXPECT_GT(predict(machine("c", 2, 2), job), 1e6);  // never fits
+}
+
+TEST(Placement, OverrunningTaskEndsWithinTheAllowance) {
+  EXPECT_DOUBLE_EQ(remaining(60, 20), 40);
+  EXPECT_DOUBLE_EQ(remaining(60, 200), constants::kOverrunAllowanceS);
+}
+
+TEST(Placement, ScanFindsTheOnlyRoomAndNoneWaits) {
+  pcg32 random(1);
+  std::vector<Candidate> pool;
+  std::vector<int> all;
+  for (int i = 0; i < 20; ++i) {
+    pool.push_back(machine(std::to_string(i), 8, i == 13 ? 8 : 1));
+    all.push_back(i);
+  }
+  for (int n = 0; n < 50; ++n) EXPECT_EQ(choose(pool, spec(4), all, random), 13);
+  pool[13].cpus = 0;
+  EXPECT_EQ(choose(pool, spec(4), all, random), -1);
+  EXPECT_EQ(choose(pool, spec(4), {}, random), -1);
+}
+
+TEST(Placement, LowerPredictionOfTwoSamplesWins) {
+  // One machine in four has the image; with two samples about 7/16 of the draws see one of them.
+  pcg32 random(7);
+  std::vector<Candidate> pool;
+  std::vector<int> all;
+  for (int i = 0; i < 8; ++i) {
+    pool.push_back(machine(std::to_string(i), 8, 8));
+    if (i < 2) pool.back().images.push_back("i");
+    all.push_back(i);
+  }
+  int hits = 0;
+  for (int n = 0; n < 4000; ++n) hits += choose(pool, spec(1), all, random) < 2;
+  EXPECT_NEAR(hits / 4000.0, 7.0 / 16, 0.03);
+}
+
+TEST(Membership, MachinesStayInTheirZoneAndMoveLittle) {
+  Settings s;
+  s.name = "a";
+  s.zone = "x";
+  s.peers = {{"b", "y", ""}, {"c", "x", ""}};
+  Membership m(s);
+  wire::ViewRecord v{1, {{"a", "1"}, {"b", "2"}, {"c", "3"}}, {}};
+  m.update(v);
+  std::map<std::string, std::string> before;
+  std::set<std::string> used;
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "n-" + std::to_string(i);
+    const std::string zone = i % 3 == 0 ? "y" : i % 3 == 1 ? "x" : "z";
+    before[id] = m.machine_owner(id, zone);
+    if (zone == "y") {
+      EXPECT_EQ(before[id], "b");
+    }
+    if (zone == "x") {
+      EXPECT_NE(before[id], "b");
+    }
+    if (zone == "z") used.insert(before[id]);
+  }
+  EXPECT_EQ(used.size(), 3U);  // zones without a controller are shared by all
+  v.epoch = 2;
+  v.live.erase("c");
+  m.update(v);
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "n-" + std::to_string(i);
+    const std::string zone = i % 3 == 0 ? "y" : i % 3 == 1 ? "x" : "z";
+    if (before[id] != "c") {
+      EXPECT_EQ(m.machine_owner(id, zone), before[id]);
+    }
+  }
+  EXPECT_GT(Membership::token(2, 0), Membership::token(1, 1 << 20));
+  EXPECT_EQ(Membership::epoch_of(Membership::token(9, 55)), 9U);
+}
+
+TEST(Quota, GrantsNeverExceedTheLimit) {
+  // Three controllers take, give back and die in random order; the sum of what any of them may
+  // use never exceeds the limit.
+  pcg32 random(3);
+  const Team team{"t", 0, 100, 0, 0};
+  std::map<std::string, double> used{{"a", 0}, {"b", 0}, {"c", 0}};
+  std::vector<std::string> live{"a", "b", "c"};
+  wire::QuotaRecord record;
+  bool waited = false, got_after_wait = false;
+  for (int step = 0; step < 5000; ++step) {
+    if (step % 500 == 499)
+      live = live.size() == 3 ? std::vector<std::string>{"a", "b"}
+                              : std::vector<std::string>{"a", "b", "c"};
+    const std::string who = live[random(static_cast<std::uint32_t>(live.size()))];
+    QuotaInput in{&team, who, live, {}, {}};
+    for (const auto& [n, u] : used) in.used[n] = {u, 0};
+    in.need.cpus = random(3) == 0 ? random(60) : 0;
+    if (const auto next = next_quota(in, record)) record = *next;
+    double granted = 0;
+    for (const auto& [n, g] : record.grants) granted += g.cpus;
+    ASSERT_LE(granted, 100 + 1e-6);
+    const double task = 1 + random(8);
+    if (within_grant(team, record, who, {used[who], 0}, task, 0)) {
+      used[who] += task;
+      got_after_wait = got_after_wait || waited;
+    } else {
+      waited = true;
+    }
+    const std::string ends = std::string(1, static_cast<char>('a' + random(3)));
+    if (random(3) == 0) used[ends] = std::max(0.0, used[ends] - random(20));
+    double total = 0;
+    for (const auto& [n, u] : used) total += u;
+    ASSERT_LE(total, 100 + 1e-6);
+  }
+  EXPECT_TRUE(got_after_wait);
+}
+
+TEST(Health, SeveralJobsMakeAMachineSickOneJobDoesNot) {
+  Health h;
+  EXPECT_FALSE(h.failed(1000, "m1", "req-000001"));
+  EXPECT_FALSE(h.failed(1100, "m1", "req-000001"));
+  EXPECT_TRUE(h.failed(1200, "m1", "req-000002"));
+}
+
+TEST(Health, AJobFailingEverywhereCondemnsNoMachineAndBacksOff) {
+  Health h;
+  for (int i = 0; i < 6; ++i)
+    EXPECT_FALSE(h.failed(1000 + i, "m" + std::to_string(i), "req-000009"));
+  EXPECT_TRUE(h.faulty_job("req-000009"));
+  EXPECT_GT(h.not_before("req-000009"), 1005 + constants::kJobBackoffMs);
+  EXPECT_FALSE(h.failed(2000, "m1", "req-000010"));  // the faulty job's errors do not count
+}
+
+TEST(Fleet, RentsForTheDemandAndAvoidsRefusedKinds) {
+  Settings s;
+  s.objectives = {{"finished", "c", 0.9, 0, 120}};
+  Fleet f(s);
+  wire::MachineType t;
+  t.name = "t";
+  t.cpus = 4;
+  t.memory_gb = 16;
+  t.price = 1;
+  t.zones = {"x", "y"};
+  auto job = spec(1, 60);
+  job.job_class = "c";
+  job.tasks = 40;
+  const std::vector<Demand> demand{{&job, 40}};
+  auto rent = f.to_rent(0, demand, {t}, {});
+  int total = 0;
+  for (const auto& r : rent) {
+    total += static_cast<int>(r.count);
+    EXPECT_FALSE(r.spot);
+  }
+  EXPECT_EQ(total, 17);  // 40 tasks side by side on 10 machines, half as many more, two to spare
+  f.refused(0, {"t", "x", false});
+  f.refused(0, {"t", "y", false});
+  EXPECT_TRUE(f.to_rent(1, demand, {t}, {}).empty());  // the job does not allow spot machines
+  job.spot = true;
+  EXPECT_FALSE(f.to_rent(1, demand, {t}, {}).empty());
+  EXPECT_FALSE(f.to_rent(constants::kRefusedPauseMs + 1, demand, {t}, {}).empty());
+}
+
+}  // namespace
+}  // namespace puffinhaven::core
