--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -167,6 +167,15 @@
 
   // ---- schedule.cpp ----
   struct Pass;
+  // Order of scheduling, smallest first.
+  struct Urgency {
+    bool hopeless = false;  // meets none of its class's aims any more
+    int priority = 0;       // negated: high first
+    int missed = 0;
+    double left = 0;  // work, in CPU seconds by the estimate
+    auto operator<=>(const Urgency&) const = default;
+  };
+  Urgency urgency_of(Ms now, const Job& job) const;
   void schedule(Ms now);
   Candidate candidate(Ms now, const Machine& m) const;
   Candidate foreign_candidate(const std::string& id, const wire::MachineRecord& record) const;
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -162,6 +162,30 @@
   work.placing.clear();
 }
 
+// Most jobs are in time when those that still can be go first, the ones with least left to do
+// before the others. Without this, an overload makes every job a little late.
+Controller::Urgency Controller::urgency_of(Ms now, const Job& job) const {
+  const auto& spec = job.record.spec;
+  const double age = static_cast<double>(now + wall_offset_ - job.record.submitted_ms) / 1000.0;
+  const std::uint64_t left = spec.tasks - std::min<std::uint64_t>(spec.tasks, job.done_tasks());
+  // The aims of its class that it can no longer meet.
+  int missed = 0, open = 0;
+  for (const auto& o : settings_.objectives) {
+    if (o.job_class != spec.job_class) continue;
+    double within = -1;
+    if (o.kind == "deadline" && spec.deadline_s) within = *spec.deadline_s * o.times;
+    if (o.kind == "finished") within = o.within_s;
+    if (within < 0) continue;
+    (age + spec.estimate_s > within ? missed : open) += 1;
+  }
+  Urgency u;
+  u.hopeless = missed > 0 && open == 0;
+  u.priority = -static_cast<int>(spec.priority);
+  u.missed = missed;
+  u.left = static_cast<double>(left) * spec.estimate_s * std::max(spec.cpus, 0.1);
+  return u;
+}
+
 void Controller::schedule(Ms now) {
   dirty_ = false;
   schedule_after_ = now + kPassEveryMs;
@@ -176,30 +200,25 @@
     RangeId id;
     const Job* job;
     const wire::RangeRecord* range;
-    double due;
+    Urgency urgency;
   };
   std::vector<Entry> entries;
-  const Ms wall = now + wall_offset_;
   for (const auto& [id, job] : replica_.jobs()) {
     if (!job.known || job.record.cancelled) continue;
+    std::optional<Urgency> urgency;
     for (const auto& [number, r] : job.ranges) {
       const RangeId range{id, number};
       if (r.placed.size() + r.done_count() >= r.end - r.begin) continue;
       if (membership_.range_owner(wire::range_key(id, number), r.owner) != settings_.name) continue;
       RangeWork& w = work_[range];
       if (w.first_seen == 0) w.first_seen = now;
-      const auto& spec = job.record.spec;
-      // Earliest due first among equals; a job without a deadline is due late but not never.
-      const double due = static_cast<double>(job.record.submitted_ms - wall) / 1000.0 +
-                         (spec.deadline_s ? *spec.deadline_s : 4 * spec.estimate_s + 60.0);
-      entries.push_back({range, &job, &r, due});
+      if (!urgency) urgency = urgency_of(now, job);
+      entries.push_back({range, &job, &r, *urgency});
     }
   }
-  std::sort(entries.begin(), entries.end(), [](const Entry& a, const Entry& b) {
-    const auto pa = a.job->record.spec.priority, pb = b.job->record.spec.priority;
-    if (pa != pb) return pa > pb;
-    if (a.due != b.due) return a.due < b.due;
-    return a.id < b.id;
+  std::sort(entries.begin(), entries.end(), [](const Entry& x, const Entry& y) {
+    if (x.urgency != y.urgency) return x.urgency < y.urgency;
+    return x.id < y.id;
   });
   quota_need_.clear();
   for (const auto& e : entries) {
@@ -306,7 +325,8 @@
       });
     }
     int chosen = choose(pass.pool, spec, here, random_);
-    if (chosen < 0) chosen = make_room(now, pass, spec);
+    // What can meet no aim any more waits for room instead of making others late.
+    if (chosen < 0 && !urgency_of(now, job).hopeless) chosen = make_room(now, pass, spec);
     if (chosen >= 0 && zoned && !zone_allows(job, pass.pool[static_cast<std::size_t>(chosen)].zone))
       chosen = -1;
     if (chosen < 0) {
