A new session's lease counts from when it was first heard; reopen a watch left behind

The former session's lease was still counted, so everything started in the new session was taken for gone at once and started elsewhere.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -56,6 +56,9 @@
 constexpr std::int64_t kWatchMs = 10000;
 // Milliseconds beyond that after which a watch counts as lost.
 constexpr std::int64_t kWatchGraceMs = 2500;
+// Milliseconds for which the watch may be behind what other answers name before it is reopened;
+// it usually takes a few tens.
+constexpr std::int64_t kWatchBehindMs = 800;
 // Share of the service's request rate that all controllers together plan to use.
 constexpr double kRateShare = 0.85;
 // Of that, the shares for reopening watches and for barrier reads; transactions get the rest.
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -71,9 +71,13 @@
     load_next(now);
   }
   if (loaded_) {
-    if (watching_ && now - watch_opened_ > k::kWatchMs + k::kWatchGraceMs) {
-      ++watch_generation_;  // lost: whatever it still answers is ignored
+    // Guards against a watch whose answer was lost: other answers name revisions that it should
+    // have brought long ago. Whatever it still answers is ignored.
+    const bool behind = told_revision_ > watched_ && now - behind_since_ > k::kWatchBehindMs;
+    if (watching_ && (behind || now - watch_opened_ > k::kWatchMs + k::kWatchGraceMs)) {
+      ++watch_generation_;
       watching_ = false;
+      behind_since_ = now;
     }
     if (!watching_ && now >= watch_at_) open_watch(now);
     keep_hold(now);
@@ -201,6 +205,11 @@
   if (now >= watch_at_) open_watch(now);
 }
 
+void Store::told(Ms now, std::uint64_t revision) {
+  if (told_revision_ <= watched_) behind_since_ = now;
+  told_revision_ = std::max(told_revision_, revision);
+}
+
 // ---- barriers ----
 
 void Store::barrier(Ms now, Ms give_up, std::function<void(Ms, bool)> done) {
@@ -218,6 +227,7 @@
     barrier_in_flight_ = false;
     std::uint64_t revision = 0;
     if (outcome.status == 404 && wire::parse_revision(outcome.body, revision)) {
+      told(at, revision);
       for (auto& b : *batch) barrier_wait_.push_back({revision, std::move(b)});
       release_barriers(at);
       return;
@@ -371,6 +381,7 @@
 void Store::on_group(Ms now, std::vector<Transaction> group, const Outcome& outcome) {
   std::uint64_t revision = 0;
   if (outcome.status == 200 && wire::parse_revision(outcome.body, revision)) {
+    told(now, revision);
     // Guards against bringing back what the watch has meanwhile seen removed: an answer that comes
     // after the watch has passed its revision tells nothing new.
     if (revision > watched_) {
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -103,6 +103,9 @@
   std::uint64_t watched_ = 0;
   std::uint64_t watch_generation_ = 0;
   bool watching_ = false;
+  std::uint64_t told_revision_ = 0;  // newest that any answer has named
+  Ms behind_since_ = 0;
+  void told(Ms now, std::uint64_t revision);
   Ms watch_opened_ = 0, watch_at_ = 0;
 
   std::deque<Transaction> queue_;
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -82,6 +82,9 @@
     m.halts.clear();
     m.unseen_starts.clear();
     m.images.clear();
+    // Guards against counting the former session's lease on: heard by a direct command alone, a new
+    // session was taken for run out, and what had just started in it was started elsewhere.
+    m.lease_from = std::max(m.lease_from, now);
   }
   const bool new_address = m.address != report.address;
   m.session = report.session;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 #include "wire/messages.h"
 #include "wire/store.h"
@@ -334,6 +335,12 @@
     result_.broken.push_back(rule + " at " + std::to_string(now_) + ": " + what);
 }
 
+void World::trace(const std::string& text) const {
+  if (options_.trace.empty()) return;
+  if (options_.trace != "*" && text.find(options_.trace) == std::string::npos) return;
+  std::fprintf(stderr, "%8lld %s\n", static_cast<long long>(now_), text.c_str());
+}
+
 Result World::run() {
   const Ms end = options_.busy_ms + options_.calm_ms;
   for (Ms t = 500; t < options_.busy_ms; t += 600 + random(1800)) at(t, [this] { new_job(); });
@@ -409,6 +416,10 @@
 void World::drain(std::size_t i) {
   Node& n = *nodes_[i];
   auto out = n.controller->take_output();
+  for (const auto& l : out.logs) trace(n.name + " " + l.text);
+  for (const auto& c : out.calls) trace(n.name + " -> " + c.address + c.path + " " + c.body);
+  for (const auto& a : out.answers)
+    trace(n.name + " answers " + std::to_string(a.status) + " " + a.body);
   for (const auto& a : out.answers) {
     auto it = n.asked.find(a.request);
     if (it == n.asked.end()) continue;
@@ -472,6 +483,7 @@
 }
 
 void World::execute(const core::Call& call, std::size_t from, Respond respond) {
+  trace("executed: " + nodes_[from]->name + " " + call.address + call.path + " " + call.body);
   if (call.target == core::Target::state) {
     if (state_->outage || nodes_[from]->refused_by_state) {
       if (call.path.starts_with("/changes")) {
@@ -583,6 +595,7 @@
     respond(status, std::move(body));
   };
   n.asked[id] = {request.path, finish};
+  trace(n.name + " <- " + request.path + " " + request.body);
   at(now_ + 4000, [finish] { finish(0, ""); });
   n.controller->on_request(now_, id, request);
   drain(i);
@@ -614,6 +627,7 @@
   // The worker's clock may be as much as 0.05% fast or slow; it keeps its tasks a little longer.
   const auto lease = static_cast<Ms>(8000 * 1.0005);
   if (now_ - w.lease_from <= lease) return;
+  trace(w.id + " lease over, session " + std::to_string(w.session + 1));
   w.tasks.clear();
   ++w.session;
   w.lease_from = now_;
@@ -911,7 +925,7 @@
   std::map<std::string, double> used;
   for (auto& [id, w] : workers_) {
     if (w->dead || !w->up) continue;
-    if (!w->hanging) worker_lease(*w);
+    worker_lease(*w);  // a hanging machine's lease runs out as well
     for (auto& [task, t] : w->tasks) {
       if (!t.present) continue;
       auto& job = jobs_.at(task.job);
@@ -1053,7 +1067,10 @@
   };
   const auto n = static_cast<std::size_t>(random(3));
   const Ms lasts = 2000 + random(14'000);
-  switch (random(13)) {
+  const int kind = random(13);
+  trace("trouble " + std::to_string(kind) + " node " + std::to_string(n) + " for " +
+        std::to_string(lasts));
+  switch (kind) {
     case 0:
       crash_node(n);
       break;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -27,6 +27,7 @@
   Ms calm_ms = 120'000;  // everything works: all must come to an end
   bool troubles = true;
   double limit_cpus = 24;  // of team "tight"
+  std::string trace;       // prints what mentions this (a machine, a job) to standard error
   // Taken out:
   bool state_ignores_guards = false;
   bool workers_ignore_tokens = false;
@@ -59,6 +60,7 @@
   int random(int below) { return static_cast<int>(random_(static_cast<std::uint32_t>(below))); }
   bool chance(double p) { return random(1'000'000) < p * 1'000'000; }
   Ms hop() { return chance(0.01) ? 200 + random(300) : 1 + random(8); }
+  void trace(const std::string& text) const;
   void broke(const std::string& rule, const std::string& what);
 
   void start_node(std::size_t i);
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -1,6 +1,8 @@
 // Seeded runs of three cores in a world of troubles; PROTOCOL's rules are checked at every step.
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+
 #include "sim/world.h"
 
 namespace puffinhaven::sim {
@@ -29,6 +31,7 @@
 TEST_P(Troubles, RulesHoldAndEverythingEnds) {
   Options o;
   o.seed = GetParam();
+  if (const char* t = std::getenv("SIM_TRACE")) o.trace = t;
   const Result r = World(o).run();
   EXPECT_TRUE(r.broken.empty()) << list(r.broken);
   EXPECT_TRUE(r.unfinished.empty()) << list(r.unfinished);
