--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -375,6 +375,8 @@
     t.guards.push_back(store_.guard(key));
     t.writes.push_back({over, encode(record), std::nullopt});
     t.writes.push_back({key, std::nullopt, std::nullopt});
+  } else {
+    t.guards.push_back({key, 0});  // that there is no such job is the store's word, not ours
   }
   for (const auto& [number, r] : job.ranges) {
     const std::string range = wire::range_key(id, number);
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -66,7 +66,7 @@
     loading_ = true;
     load_prefix_ = 0;
     load_after_.clear();
-    load_revision_ = 0;
+    load_revision_known_ = false;
     load_seen_.clear();
     load_next(now);
   }
@@ -120,7 +120,9 @@
            load_retry_at_ = at + k::kProbeEveryMs;
            return;
          }
-         if (load_revision_ == 0) load_revision_ = revision;
+         // Guards against watching from a later page's revision: the first one may well be 0.
+         if (!load_revision_known_) load_revision_ = revision;
+         load_revision_known_ = true;
          for (auto& item : items) {
            load_seen_.insert(item.key);
            load_after_ = item.key;
@@ -385,8 +387,13 @@
     // Guards against bringing back what the watch has meanwhile seen removed: an answer that comes
     // after the watch has passed its revision tells nothing new.
     if (revision > watched_) {
-      for (const auto& t : group)
-        for (const auto& w : t.writes) apply(now, {w.key, w.value, revision});
+      for (const auto& t : group) {
+        for (const auto& w : t.writes) {
+          // The view comes by the watch alone, after everything written before it. Guards against
+          // acting as an owner on records from before the view that made us one.
+          if (w.key != wire::kViewKey) apply(now, {w.key, w.value, revision});
+        }
+      }
     }
     for (auto& t : group) t.done(now, Committed::yes, {});
     flush(now);
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -96,7 +96,8 @@
   bool loading_ = false;
   std::size_t load_prefix_ = 0;
   std::string load_after_;
-  std::uint64_t load_revision_ = 0;
+  std::uint64_t load_revision_ = 0;  // of the first page read
+  bool load_revision_known_ = false;
   std::set<std::string> load_seen_;
   Ms load_retry_at_ = 0;
 
