--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -116,11 +116,17 @@
 std::string Controller::status_line(Ms now) const {
   std::size_t placed = 0;
   for (const auto& [id, m] : machines_) placed += replica_.placed_on(id).size();
+  const auto busy = std::count_if(work_.begin(), work_.end(), [](const auto& w) {
+    return w.second.busy || w.second.uncertain;
+  });
+  const auto quotas =
+      std::count_if(quota_busy_.begin(), quota_busy_.end(), [](const auto& q) { return q.second; });
   return "epoch " + std::to_string(membership_.epoch()) + (ready() ? " ready" : " not ready") +
          (store_.answering(now) ? "" : ", state silent") + ", jobs " +
          std::to_string(replica_.jobs().size()) + ", machines " + std::to_string(machines_.size()) +
          "/" + std::to_string(replica_.machines().size()) + ", placed " + std::to_string(placed) +
-         ", queued writes " + std::to_string(store_.queued());
+         ", ranges being written " + std::to_string(busy) + ", quotas being written " +
+         std::to_string(quotas) + ", queued writes " + std::to_string(store_.queued());
 }
 
 // ---- changes ----
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -101,6 +101,10 @@
     std::map<std::uint32_t, wire::Placement> placing;  // being written
     std::uint32_t cursor = 0;                          // no unstarted task before it
     bool want_stop = false;                            // gang to be stopped in good order
+    // A write of `placing` got no answer and may still be applied; until the record is written
+    // again, which voids it, the placements count as made.
+    bool uncertain = false;
+    double cpus = 0, gpus = 0, memory_gb = 0;  // of each task in `placing`
   };
   struct Waiter {
     std::uint64_t request = 0;
@@ -189,7 +193,7 @@
               std::uint64_t attempt, int machine);
   void write_range(const RangeId& id);
   void write_taken(const RangeId& from, std::uint32_t first, const RangeId& to);
-  void clear_placing(RangeWork& work, const wire::JobSpec& spec);
+  void clear_placing(RangeWork& work);
   std::size_t placed_most() const;
   bool unstarted(const RangeWork& work, const wire::RangeRecord& range, std::uint32_t task) const;
   double elapsed_s(Ms now, const Machine& m, const TaskRef& ref, std::uint64_t attempt) const;
@@ -244,6 +248,7 @@
   Ms schedule_after_ = 0;
   std::size_t waiting_requests_ = 0;
   std::map<std::string, bool> quota_busy_;
+  std::set<std::string> quota_uncertain_;  // busy until written again
   std::map<std::string, wire::QuotaRecord::Amount> quota_need_;
   Ms quota_after_ = 0;
 
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -138,6 +138,9 @@
   Candidate& c = pass.pool[static_cast<std::size_t>(machine)];
   const auto& spec = job.record.spec;
   work.placing[task] = {attempt, c.id, c.session, settings_.name};
+  work.cpus = spec.cpus;
+  work.gpus = spec.gpus;
+  work.memory_gb = spec.memory_gb;
   c.book(spec, spec.estimate_s);
   if (auto m = machines_.find(c.id); m != machines_.end()) {
     m->second.reserved_cpus += spec.cpus;
@@ -151,15 +154,16 @@
   pass.changed.insert(id);
 }
 
-void Controller::clear_placing(RangeWork& work, const wire::JobSpec& spec) {
+void Controller::clear_placing(RangeWork& work) {
   for (const auto& [task, p] : work.placing) {
     auto m = machines_.find(p.machine);
     if (m == machines_.end()) continue;
-    m->second.reserved_cpus = std::max(0.0, m->second.reserved_cpus - spec.cpus);
-    m->second.reserved_gpus = std::max(0.0, m->second.reserved_gpus - spec.gpus);
-    m->second.reserved_memory = std::max(0.0, m->second.reserved_memory - spec.memory_gb);
+    m->second.reserved_cpus = std::max(0.0, m->second.reserved_cpus - work.cpus);
+    m->second.reserved_gpus = std::max(0.0, m->second.reserved_gpus - work.gpus);
+    m->second.reserved_memory = std::max(0.0, m->second.reserved_memory - work.memory_gb);
   }
   work.placing.clear();
+  work.uncertain = false;
 }
 
 // Most jobs are in time when those that still can be go first, the ones with least left to do
@@ -226,7 +230,7 @@
       break;
     }
     RangeWork& w = work_[e.id];
-    if (w.busy || now < w.retry_at || health_.not_before(e.id.job) > now) continue;
+    if (w.busy || w.uncertain || now < w.retry_at || health_.not_before(e.id.job) > now) continue;
     if (e.job->record.spec.gang) {
       place_gang(pass, e.id, *e.job, *e.range);
     } else {
@@ -515,7 +519,7 @@
         room += fit_count(spec, c.cpus, c.gpus, c.memory_gb);
     }
     if (room < 1) continue;
-    if (!grant_allows(pass, spec)) continue;
+    const bool granted = grant_allows(pass, spec);
     for (const auto& [number, r] : job.ranges) {
       const RangeId range{id, number};
       if (membership_.range_owner(wire::range_key(id, number), r.owner) == settings_.name) continue;
@@ -532,6 +536,14 @@
         if (!r.done[first - r.begin]) ++open;
       }
       if (open == 0) continue;
+      if (!granted) {
+        // Guards against work that only our machines may run staying with a part that holds the
+        // grants but has no such machines.
+        auto& need = quota_need_[spec.team];
+        need.cpus += spec.cpus * open;
+        need.gpus += spec.gpus * open;
+        break;
+      }
       best_job = &job;
       best = range;
       best_first = first;
@@ -588,8 +600,7 @@
   const Job* job = replica_.job(id.job);
   if (w.busy) return;
   if (!range || !job) {
-    if (job) clear_placing(w, job->record.spec);
-    w.placing.clear();
+    clear_placing(w);
     w.freed.clear();
     w.want_stop = false;
     return;
@@ -627,7 +638,8 @@
   const std::string key = wire::range_key(id.job, id.number);
   t.guards = {view_guard(), store_.guard(key)};
   std::set<std::string> machines;
-  if (!w.placing.empty()) {
+  if (w.uncertain) changed = true;  // the same again, with a new stamp
+  if (!w.placing.empty() && !w.uncertain) {
     // A cancellation or a change of a machine's standing in between voids the placement.
     t.guards.push_back(store_.guard(wire::job_key(id.job)));
     next.owner = settings_.name;
@@ -654,10 +666,13 @@
   t.done = [this, id, machines](Ms at, Committed result, const auto&) {
     auto it = work_.find(id);
     if (it == work_.end()) return;
-    const Job* j = replica_.job(id.job);
-    if (j) clear_placing(it->second, j->record.spec);
-    it->second.placing.clear();
     dirty_ = true;
+    if (result == Committed::unknown) {
+      // Guards against a late write that fills a grant or a machine a second time.
+      it->second.uncertain = true;
+    } else if (result != Committed::refused || !it->second.uncertain) {
+      clear_placing(it->second);
+    }
     if (result == Committed::yes) {
       it->second.busy = false;
       return;  // starts follow from the changed machines
@@ -682,7 +697,7 @@
   if (!can_write(now) || now < quota_after_) return;
   quota_after_ = now + 4 * kPassEveryMs;
   for (const auto& t : settings_.teams) {
-    if (!limited(t) || quota_busy_[t.name]) continue;
+    if (!limited(t) || (quota_busy_[t.name] && !quota_uncertain_.contains(t.name))) continue;
     const auto need = quota_need_.find(t.name);
     auto recorded = replica_.quotas().find(t.name);
     const wire::QuotaRecord record =
@@ -690,7 +705,8 @@
     const bool asked = std::any_of(record.wanted.begin(), record.wanted.end(), [](const auto& w) {
       return w.second.cpus > 0 || w.second.gpus > 0;
     });
-    if (need == quota_need_.end() && !asked) continue;
+    const bool uncertain = quota_uncertain_.contains(t.name);
+    if (need == quota_need_.end() && !asked && !uncertain) continue;
     QuotaInput in;
     in.team = &t;
     in.self = settings_.name;
@@ -708,19 +724,32 @@
       in.used[settings_.name].cpus += job->record.spec.cpus * static_cast<double>(w.placing.size());
       in.used[settings_.name].gpus += job->record.spec.gpus * static_cast<double>(w.placing.size());
     }
-    const auto next = next_quota(in, record);
+    auto next = next_quota(in, record);
+    if (!next && uncertain) next = record;  // the same again, with a new stamp
     if (!next) continue;
     const std::string key = std::string(wire::kQuotaPrefix) + t.name;
     Transaction x;
     x.guards = {view_guard(), store_.guard(key)};
     x.writes = {{key, encode(*next), std::nullopt}};
     quota_busy_[t.name] = true;
-    x.done = [this, name = t.name](Ms at, Committed result, const auto&) {
-      auto release = [this, name](Ms) {
+    quota_uncertain_.erase(t.name);
+    x.done = [this, name = t.name, uncertain](Ms at, Committed result, const auto&) {
+      if (result == Committed::yes) {
         quota_busy_[name] = false;
         dirty_ = true;
-      };
-      result == Committed::yes ? release(at) : settle(at, release);
+        return;
+      }
+      // Guards against a grant that shrinks late while we fill it: after a write without an answer
+      // nothing is placed from the grant until the record has been written again.
+      const bool open = result == Committed::unknown || (result == Committed::refused && uncertain);
+      settle(at, [this, name, open](Ms) {
+        if (open) {
+          quota_uncertain_.insert(name);
+        } else {
+          quota_busy_[name] = false;
+        }
+        dirty_ = true;
+      });
     };
     store_.submit(std::move(x));
   }
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -437,6 +437,11 @@
 void Controller::watch_machines(Ms now) {
   if (!ready() || now < machines_at_) return;
   machines_at_ = now + kLookEveryMs;
+  std::erase_if(machines_, [&](const auto& entry) {
+    const Machine& m = entry.second;
+    return !replica_.machine(m.id) && !m.record_busy && !m.orders_in_flight &&
+           now - m.heard_at > silent_after();
+  });
   std::size_t silent = 0, heard = 0;
   for (const auto& [id, m] : machines_) {
     if (m.session == 0) continue;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -361,6 +361,8 @@
     now_ = std::max(now_, e.time);
     e.action();
   }
+  for (const auto& n : nodes_)
+    if (n->controller) trace(n->name + ": " + n->controller->status_line(now_));
   for (const auto& [id, j] : jobs_) {
     if (!j.accepted) continue;
     ++result_.accepted;
