--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -479,7 +479,7 @@
     });
   });
   // Repeats of requests that were carried out.
-  if (call.method == "POST" && chance(0.02))
+  if (call.method == "POST" && chance(options_.repeated))
     at(now_ + 50 + random(15'000),
        [this, i, call] { execute(call, i, [](int, const std::string&) {}); });
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -27,6 +27,7 @@
   Ms calm_ms = 240'000;  // everything works: all must come to an end
   bool troubles = true;
   double limit_cpus = 40;  // of team "tight"
+  double repeated = 0.02;  // share of requests of which a copy is executed again later
   std::string trace;       // prints what mentions this (a machine, a job) to standard error
   // Taken out:
   bool state_ignores_guards = false;
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -1,6 +1,7 @@
 // Seeded runs of three cores in a world of troubles; PROTOCOL's rules are checked at every step.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 
 #include "sim/world.h"
@@ -23,7 +24,23 @@
   EXPECT_TRUE(r.unfinished.empty()) << list(r.unfinished);
   EXPECT_GT(r.done, 30);
   EXPECT_GT(r.gangs_done, 3);
-  EXPECT_GT(r.stopped_saved, 0);
+}
+
+// Half of all requests are executed again up to 15 s later.
+TEST(Simulation, RepeatedRequestsBreakNothing) {
+  int saved = 0, spread = 0;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    Options o;
+    o.seed = seed;
+    o.repeated = 0.5;
+    const Result r = World(o).run();
+    EXPECT_TRUE(r.broken.empty()) << list(r.broken);
+    saved += r.stopped_saved;
+    spread += r.spread_done;
+  }
+  // That the runs do cover preemption with saving, and jobs spread over zones.
+  EXPECT_GT(saved, 0);
+  EXPECT_GT(spread, 0);
 }
 
 class Troubles : public testing::TestWithParam<std::uint64_t> {};
@@ -62,6 +79,7 @@
   Options o;
   o.workers_ignore_tokens = true;
   o.workers_ignore_sessions = true;
+  o.repeated = 0.5;
   EXPECT_GT(broken_runs(o, "ran_twice"), 0);
 }
 
