--- /dev/null
+++ b/tests/e2e_test.cpp
@@ -0,0 +1,261 @@
+// The real binary on loopback, against stand-ins for the state service, the cloud and a worker.
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <asio.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "sim/state_stand_in.h"
+#include "wire/messages.h"
+
+namespace puffinhaven {
+namespace {
+
+using asio::ip::tcp;
+using namespace std::chrono_literals;
+
+core::Ms steady_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+tcp::endpoint free_endpoint(asio::io_context& io) {
+  tcp::acceptor a(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return a.local_endpoint();
+}
+
+std::string text(const tcp::endpoint& e) {
+  return e.address().to_string() + ":" + std::to_string(e.port());
+}
+
+struct Ran {
+  int code = 0;
+  std::string output;
+};
+
+Ran run(const std::string& arguments) {
+  Ran r;
+  FILE* pipe = popen((std::string(PUFFINHAVEN_BINARY) + " " + arguments + " 2>&1").c_str(), "r");
+  std::array<char, 256> buffer{};
+  while (fgets(buffer.data(), buffer.size(), pipe)) r.output += buffer.data();
+  r.code = WEXITSTATUS(pclose(pipe));
+  return r;
+}
+
+class EndToEnd : public testing::Test {
+ protected:
+  void SetUp() override {
+    client_ = std::make_unique<net::HttpClient>(io_);
+    const auto state = free_endpoint(io_);
+    state_server_ = std::make_unique<net::HttpServer>(
+        io_, state, 100, [this](std::uint64_t id, net::HttpServer::Request r) {
+          core::Call call;
+          call.method = r.method;
+          call.path = r.path;
+          call.body = r.body;
+          state_.serve(steady_ms(), call, 0, [this, id](int status, const std::string& body) {
+            state_server_->answer(id, status, body, 0);
+          });
+          state_.serve_watchers(steady_ms(), [](std::size_t) { return true; });
+        });
+    const auto cloud = free_endpoint(io_);
+    worker_ = text(free_endpoint(io_));
+    cloud_server_ = std::make_unique<
+        net::
+            HttpServer>(io_, cloud, 100, [this](std::uint64_t id, const net::HttpServer::Request& r) {
+      if (r.path == "/catalog") {
+        cloud_server_->answer(
+            id, 200,
+            R"({"fleets":[{"label":"t","cpus":4,"memGb":16,"rate":1,"readyS":1,"yards":["a"]}]})",
+            0);
+      } else if (r.method == "GET") {
+        cloud_server_->answer(id, 200,
+                              R"({"rigs":[{"id":"n-000001","endpoint":")" + worker_ +
+                                  R"(","fleet":"t","yard":"a","standby":false,)"
+                                  R"("status":"running","heldS":9}],"hasNext":false})",
+                              0);
+      } else {
+        cloud_server_->answer(id, 503, R"({"error":"no capacity"})", 0);
+      }
+    });
+    bind_ = text(free_endpoint(io_));
+    char folder[] = "/tmp/puffinhaven-e2e-XXXXXX";
+    ASSERT_NE(mkdtemp(folder), nullptr);
+    folder_ = folder;
+    std::ofstream(settings()) << "host_name = \"puffin-0\"\nzone = \"a\"\nbind = \"" << bind_
+                              << "\"\npeer_listen = \"" << text(free_endpoint(io_))
+                              << "\"\n[external]\ncloud = \"" << text(cloud) << "\"\nstate = \""
+                              << text(state) << R"("
+[settings]
+size = 1
+[[settings.teams]]
+name = "team"
+[settings.workers]
+report_s = 0.2
+lease_s = 5.0
+gang_wait_s = 5.0
+gang_peer_s = 2.0
+cancel_s = 10.0
+[settings.state]
+rps = 500.0
+write_rps = 200.0
+value_kb = 8.0
+txn_ops = 24
+[settings.cloud]
+rps = 5.0
+list_lag_s = 0.1
+[settings.machine_limits]
+cpu_share = 1.0
+ram_mb = 100.0
+fd_limit = 500
+)";
+  }
+
+  void TearDown() override {
+    stop();
+    std::remove(settings().c_str());
+    rmdir(folder_.c_str());
+  }
+
+  std::string settings() const { return folder_ + "/settings.toml"; }
+
+  void start() {
+    child_ = fork();
+    if (child_ == 0) {
+      execl(PUFFINHAVEN_BINARY, PUFFINHAVEN_BINARY, "--config", settings().c_str(), nullptr);
+      _exit(127);
+    }
+  }
+
+  void stop() {
+    if (child_ <= 0) return;
+    kill(child_, SIGKILL);
+    waitpid(child_, nullptr, 0);
+    child_ = 0;
+  }
+
+  std::pair<int, std::string> ask(const std::string& method, const std::string& path,
+                                  const std::string& body = "") {
+    std::pair<int, std::string> out{-1, ""};
+    client_->send({bind_, method, path, body, 3000}, [&](int status, std::string answer) {
+      out = {status, std::move(answer)};
+    });
+    while (out.first < 0) io_.run_one_for(50ms);
+    return out;
+  }
+
+  template <typename F>
+  bool eventually(F&& holds) {
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (std::chrono::steady_clock::now() < end) {
+      if (holds()) return true;
+      io_.run_for(50ms);
+      report();
+    }
+    return false;
+  }
+
+  // One report of the worker; what it is told to start is done by its next but one.
+  void report() {
+    if (reporting_) return;
+    reporting_ = true;
+    std::string loads;
+    for (auto& [name, task] : tasks_) {
+      if (task.reports++ > 1) task.done = true;
+      loads += (loads.empty() ? "" : ",") + std::string("{\"load\":\"") + name +
+               "\",\"try\":" + std::to_string(task.attempt) +
+               (task.done ? R"(,"status":"exited","cause":"done"})" : R"(,"status":"running"})");
+    }
+    const std::string body = R"({"rig":"n-000001","endpoint":")" + worker_ +
+                             R"(","fleet":"t","yard":"a","standby":false,"shift":1,"tally":)" +
+                             std::to_string(++tally_) + ",\"baton\":" + std::to_string(token_) +
+                             ",\"warningS\":null,\"loads\":[" + loads + "]}";
+    client_->send({bind_, "POST", "/hello", body, 2000}, [this](int status, std::string answer) {
+      reporting_ = false;
+      rapidjson::Document doc;
+      if (status != 200 || !wire::parse_object(answer, doc)) return;
+      if (doc["baton"].GetUint64() < token_) return;
+      token_ = doc["baton"].GetUint64();
+      for (const auto& o : doc["orders"].GetArray()) {
+        const std::string verb = o["verb"].GetString(), name = o["load"].GetString();
+        if (verb == "clear") tasks_.erase(name);
+        if (verb == "start" && !tasks_.contains(name)) {
+          tasks_[name].attempt = o["try"].GetUint64();
+          ++starts_;
+        }
+      }
+    });
+  }
+
+  struct Task {
+    std::uint64_t attempt = 0;
+    int reports = 0;
+    bool done = false;
+  };
+  asio::io_context io_;
+  sim::StateStandIn state_;
+  std::unique_ptr<net::HttpClient> client_;
+  std::unique_ptr<net::HttpServer> state_server_, cloud_server_;
+  std::string bind_, worker_, folder_;
+  pid_t child_ = 0;
+  bool reporting_ = false;
+  std::uint64_t tally_ = 0, token_ = 0;
+  std::map<std::string, Task> tasks_;
+  int starts_ = 0;
+};
+
+TEST_F(EndToEnd, AJobRunsAndItsEndOutlivesTheProcess) {
+  start();
+  ASSERT_TRUE(eventually([&] { return ask("GET", "/healthz").first == 200; }));
+  EXPECT_EQ(ask("POST", "/v1/jobs", "{").first, 400);
+  EXPECT_EQ(ask("GET", "/nowhere").first, 404);
+  EXPECT_EQ(ask("DELETE", "/v1/jobs").first, 405);
+  EXPECT_EQ(ask("POST", "/v1/jobs", std::string(70'000, ' ')).first, 413);
+  const std::string job =
+      R"({"id":"req-000001","queue":"q","crew":"team","shape":"batch","rank":"standard","loads":3,)"
+      R"("cpus":1,"gpus":0,"memGb":1,"kit":"i","pullGb":1,"together":false,"scatter":false,)"
+      R"("standby":false,"haulS":1,"tipS":0,"stowS":0})";
+  ASSERT_TRUE(eventually([&] { return ask("POST", "/v1/jobs", job).first == 201; }));
+  EXPECT_EQ(ask("POST", "/v1/jobs", job).first, 200);
+  std::string stranger = job;
+  stranger.replace(stranger.find("team"), 4, "gang").replace(stranger.find("000001"), 6, "000002");
+  EXPECT_EQ(ask("POST", "/v1/jobs", stranger).first, 422);
+  EXPECT_EQ(ask("GET", "/v1/jobs/req-000002").first, 404);
+  const auto done = [&] {
+    return ask("GET", "/v1/jobs/req-000001").second.find(R"("status":"done")") != std::string::npos;
+  };
+  EXPECT_TRUE(eventually(done));
+  EXPECT_EQ(starts_, 3);
+  stop();
+  start();
+  EXPECT_TRUE(eventually(done));
+  EXPECT_NE(ask("POST", "/v1/jobs/req-000001/withdraw").second.find("done"), std::string::npos);
+  EXPECT_NE(ask("POST", "/v1/jobs", job).second.find("done"), std::string::npos);
+}
+
+TEST_F(EndToEnd, CommandLineAndBadSettings) {
+  EXPECT_EQ(run("--version").output.rfind("puffinhaven ", 0), 0U);
+  EXPECT_NE(run("--help").output.find("--config"), std::string::npos);
+  EXPECT_EQ(run("--check --config " + settings()).code, 0);
+  const std::string bad = folder_ + "/bad.toml";
+  for (const char* content :
+       {"host_name = 7", "x = [", "", "host_name = \"a\"\nzone = \"z\"\nbind = \"nowhere\""}) {
+    std::ofstream(bad) << content;
+    const Ran r = run("--config " + bad);
+    EXPECT_NE(r.code, 0) << content;
+    EXPECT_EQ(std::count(r.output.begin(), r.output.end(), '\n'), 1) << r.output;
+  }
+  std::remove(bad.c_str());
+  EXPECT_NE(run("--config " + bad).code, 0);
+}
+
+}  // namespace
+}  // namespace puffinhaven
--- /dev/null
+++ b/tests/sim/state_stand_in.h
@@ -0,0 +1,217 @@
+// A stand-in for the state service, written from PROTOCOL: guarded transactions, pages, watches
+// and holds. It is told the time and answers through callbacks.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+#include "wire/messages.h"
+
+namespace puffinhaven::sim {
+
+using core::Ms;
+using Respond = std::function<void(int status, std::string body)>;
+
+// The members of a JSON object, one after the other.
+struct Put {
+  std::string text;
+  void key(const char* name) {
+    if (!text.empty()) text += ",";
+    text += "\"" + std::string(name) + "\":";
+  }
+  void str(const char* name, const std::string& v) { key(name), text += "\"" + v + "\""; }
+  void raw(const char* name, const std::string& v) { key(name), text += v; }
+  void num(const char* name, std::uint64_t v) { raw(name, std::to_string(v)); }
+  std::string done() const { return "{" + text + "}"; }
+};
+
+inline std::map<std::string, std::string> query(const std::string& path) {
+  std::map<std::string, std::string> out;
+  auto at = path.find('?');
+  while (at != std::string::npos) {
+    const auto next = path.find('&', at + 1);
+    const std::string part = path.substr(at + 1, next == std::string::npos ? next : next - at - 1);
+    const auto eq = part.find('=');
+    out[part.substr(0, eq)] = eq == std::string::npos ? "" : part.substr(eq + 1);
+    at = next;
+  }
+  return out;
+}
+
+struct StateStandIn {
+  struct Item {
+    std::string value;
+    std::uint64_t version = 0;
+    std::uint64_t permit = 0;
+  };
+  struct Change {
+    std::uint64_t revision;
+    std::string key;
+    std::optional<std::string> value;
+  };
+  struct Watcher {
+    std::uint64_t after;
+    Ms until;
+    std::size_t node;
+    Respond respond;
+  };
+  std::map<std::string, Item> items;
+  std::vector<Change> changes;
+  std::map<std::uint64_t, std::pair<Ms, Ms>> holds;  // permit -> end, life
+  std::vector<Watcher> watchers;
+  std::uint64_t revision = 0, next_permit = 1;
+  bool outage = false;
+  bool ignore_guards = false;
+
+  void change(const std::string& key, std::optional<std::string> value) {
+    changes.push_back({revision, key, std::move(value)});
+  }
+
+  void end_holds(Ms now) {
+    for (auto it = holds.begin(); it != holds.end();) {
+      if (now <= it->second.first) {
+        ++it;
+        continue;
+      }
+      for (auto item = items.begin(); item != items.end();) {
+        if (item->second.permit == it->first) {
+          ++revision;
+          change(item->first, std::nullopt);
+          item = items.erase(item);
+        } else {
+          ++item;
+        }
+      }
+      it = holds.erase(it);
+    }
+  }
+
+  static std::string event(const Change& c) {
+    Put p;
+    p.str(c.value ? "write" : "remove", c.key);
+    if (c.value) p.raw("v", *c.value);
+    p.num("stamp", c.revision);
+    return p.done();
+  }
+
+  void serve_watchers(Ms now, const std::function<bool(std::size_t)>& reachable) {
+    std::vector<Watcher> keep;
+    std::vector<std::pair<Respond, std::string>> ready;
+    for (auto& w : watchers) {
+      if (outage || !reachable(w.node) || (revision <= w.after && now < w.until)) {
+        keep.push_back(std::move(w));
+        continue;
+      }
+      std::string list;
+      for (auto c =
+               std::lower_bound(changes.begin(), changes.end(), w.after + 1,
+                                [](const Change&x, std::uint64_t r) { return x.revision < r; });
+           c != changes.end(); ++c)
+        list += (list.empty() ? "" : ",") + event(*c);
+      Put p;
+      p.num("ledger", revision);
+      p.raw("events", "[" + list + "]");
+      ready.emplace_back(std::move(w.respond), p.done());
+    }
+    watchers = std::move(keep);
+    for (auto& [respond, body] : ready) respond(200, body);
+  }
+
+  void transact(const std::string& body, const Respond& respond) {
+    rapidjson::Document doc;
+    if (!wire::parse_object(body, doc)) return respond(400, "{}");
+    std::string failed;
+    for (const auto& g : doc["guards"].GetArray()) {
+      auto it = items.find(g["k"].GetString());
+      const std::uint64_t version = it == items.end() ? 0 : it->second.version;
+      if (version != g["stamp"].GetUint64() && !ignore_guards)
+        failed += (failed.empty() ? "\"" : ",\"") + std::string(g["k"].GetString()) + "\"";
+    }
+    if (!failed.empty()) {
+      Put p;
+      p.raw("failed", "[" + failed + "]");
+      p.num("ledger", revision);
+      return respond(409, p.done());
+    }
+    for (const auto& w : doc["writes"].GetArray())
+      if (w.HasMember("permit") && !holds.contains(w["permit"].GetUint64()))
+        return respond(400, R"({"error":"no such lease"})");
+    if (!doc["writes"].Empty()) ++revision;
+    for (const auto& w : doc["writes"].GetArray()) {
+      if (w.HasMember("write")) {
+        Item& item = items[w["write"].GetString()];
+        item.value = wire::text_of(w["v"]);
+        item.version = revision;
+        item.permit = w.HasMember("permit") ? w["permit"].GetUint64() : 0;
+        change(w["write"].GetString(), item.value);
+      } else if (items.erase(w["remove"].GetString())) {
+        change(w["remove"].GetString(), std::nullopt);
+      }
+    }
+    Put p;
+    p.num("ledger", revision);
+    respond(200, p.done());
+  }
+
+  void serve(Ms now, const core::Call& call, std::size_t node, const Respond& respond) {
+    end_holds(now);
+    Put p;
+    if (call.path.starts_with("/changes")) {
+      auto q = query(call.path);
+      watchers.push_back({std::stoull(q["after"]), now + std::stoll(q["blockMs"]), node, respond});
+    } else if (call.path == "/multi") {
+      transact(call.body, respond);
+    } else if (call.path == "/holds") {
+      rapidjson::Document doc;
+      wire::parse_object(call.body, doc);
+      const Ms life = doc["lifeMs"].GetInt64();
+      holds[next_permit] = {now + life, life};
+      p.num("permit", next_permit++);
+      respond(200, p.done());
+    } else if (call.path.starts_with("/holds/")) {
+      auto it = holds.find(std::stoull(call.path.substr(7)));
+      if (it == holds.end()) return respond(404, "{}");
+      it->second.first = now + it->second.second;
+      respond(200, "{}");
+    } else if (call.path.starts_with("/store?")) {
+      auto q = query(call.path);
+      std::string list;
+      int n = 0;
+      bool more = false;
+      for (auto it = items.lower_bound(q["starts"]); it != items.end(); ++it) {
+        if (!it->first.starts_with(q["starts"])) break;
+        if (!q["after"].empty() && it->first <= q["after"]) continue;
+        if (n++ == std::stoi(q["most"])) {
+          more = true;
+          break;
+        }
+        Put i;
+        i.str("k", it->first);
+        i.raw("v", it->second.value);
+        i.num("stamp", it->second.version);
+        list += (list.empty() ? "" : ",") + i.done();
+      }
+      p.raw("pairs", "[" + list + "]");
+      p.raw("hasNext", more ? "true" : "false");
+      p.num("ledger", revision);
+      respond(200, p.done());
+    } else {
+      auto it = items.find(call.path.substr(7));
+      if (it == items.end()) {
+        p.num("ledger", revision);
+        return respond(404, p.done());
+      }
+      p.str("k", it->first);
+      p.raw("v", it->second.value);
+      p.num("stamp", it->second.version);
+      respond(200, p.done());
+    }
+  }
+};
+
+}  // namespace puffinhaven::sim
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -14,11 +14,10 @@
 #include <vector>
 
 #include "core/controller.h"
+#include "sim/state_stand_in.h"
 
 namespace puffinhaven::sim {
 
-using core::Ms;
-
 // What a run is like, and which of the world's own safeguards are taken out of it, to show that
 // the referee sees what they prevent.
 struct Options {
@@ -51,11 +50,9 @@
 
  private:
   struct Node;
-  struct State;
   struct Cloud;
   struct Worker;
   struct UserJob;
-  using Respond = std::function<void(int status, std::string body)>;
 
   void at(Ms time, std::function<void()> action);
   int random(int below) { return static_cast<int>(random_(static_cast<std::uint32_t>(below))); }
@@ -109,7 +106,7 @@
   std::priority_queue<Event> events_;
   core::Settings settings_;
   std::vector<std::unique_ptr<Node>> nodes_;
-  std::unique_ptr<State> state_;
+  std::unique_ptr<StateStandIn> state_;
   std::unique_ptr<Cloud> cloud_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, UserJob> jobs_;
