A controller that hears none of its machines gives them up in time

Ruled out: reports reaching the others, who rightly sent them back to the owner. The view names it deaf; it takes its part back once a machine answers /status.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -40,6 +40,11 @@
 constexpr std::int64_t kRemoveAfterMs = 400;
 // Further milliseconds for each live controller before us in order, so that one of them writes.
 constexpr std::int64_t kRemoveStaggerMs = 300;
+// Milliseconds beyond a machine's silence after which a controller that hears none of its machines
+// gives them up: well within their leases, so that another can keep those.
+constexpr std::int64_t kDeafAfterMs = 600;
+// Milliseconds between its attempts to reach one again.
+constexpr std::int64_t kDeafProbeMs = 2000;
 // Bits of a token below the epoch: fences raised per machine within one epoch.
 constexpr int kFenceBits = 24;
 
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -153,6 +153,7 @@
       m.spot = record->spot;
       m.owner_since = membership_.epoch();
       m.session = record->session;
+      m.heard_at = now;
       it = machines_.find(id);
     }
     if (it == machines_.end()) continue;
@@ -221,6 +222,7 @@
     return;
   }
   acknowledge_view(now);
+  keep_hearing(now);
   // Remove members whose hold has ended.
   if (!store_.answering(now) || removing_) return;
   int before_us = 0;
@@ -240,6 +242,7 @@
     wire::ViewRecord next = replica_.view();
     ++next.epoch;
     next.live.erase(name);
+    next.deaf.erase(name);
     // It may still be alive and answering workers; it stays listed until it comes back.
     next.departed[name] = incarnation;
     log(LogLevel::info, "removing " + name + " from the view");
@@ -265,6 +268,7 @@
   // A process of our name is ours alone: the former incarnation has ended.
   next.live[settings_.name] = incarnation_;
   next.departed.erase(settings_.name);
+  next.deaf.erase(settings_.name);
   wire::LiveRecord live;
   live.incarnation = incarnation_;
   live.epoch = next.epoch;
@@ -286,6 +290,64 @@
   store_.submit(std::move(t));
 }
 
+void Controller::keep_hearing(Ms now) {
+  if (hearing_busy_ || now < hearing_at_ || !store_.answering(now)) return;
+  const auto& view = replica_.view();
+  if (!view.deaf.contains(settings_.name)) {
+    if (membership_.owners().size() < 2) return;
+    std::size_t silent = 0;
+    for (const auto& [id, m] : machines_) {
+      if (m.session == 0) continue;
+      if (now - m.heard_at <= silent_after() + k::kDeafAfterMs) return;
+      ++silent;
+    }
+    if (silent > 0) set_deaf(true);
+    return;
+  }
+  // Deaf: ask a machine that would be ours, in our own zone if there is one.
+  hearing_at_ = now + k::kDeafProbeMs;
+  std::vector<std::string> near, all;
+  for (const auto& [id, record] : replica_.machines()) {
+    if (record.session == 0 || record.address.empty() ||
+        record.standing != wire::MachineStanding::ready)
+      continue;
+    (record.zone == settings_.zone ? near : all).push_back(record.address);
+  }
+  const auto& from = near.empty() ? all : near;
+  if (from.empty()) {
+    set_deaf(false);
+    return;
+  }
+  call(Target::worker, from[random_(static_cast<std::uint32_t>(from.size()))], "GET",
+       wire::kStatusPath, "", k::kOrdersTimeoutMs, [this](Ms, const Outcome& outcome) {
+         wire::MachineReport report;
+         if (outcome.status == 200 && wire::parse_report(outcome.body, report) && ready() &&
+             replica_.view().deaf.contains(settings_.name))
+           set_deaf(false);
+       });
+}
+
+void Controller::set_deaf(bool deaf) {
+  if (hearing_busy_) return;
+  hearing_busy_ = true;
+  wire::ViewRecord next = replica_.view();
+  ++next.epoch;
+  if (deaf) {
+    next.deaf.insert(settings_.name);
+  } else {
+    next.deaf.erase(settings_.name);
+  }
+  log(LogLevel::info, deaf ? "no machine reaches us; giving ours up" : "machines reach us again");
+  Transaction t;
+  t.guards = {view_guard()};
+  t.writes = {{std::string(wire::kViewKey), encode(next), std::nullopt}};
+  t.urgent = true;
+  t.done = [this](Ms at, Committed, const auto&) {
+    settle(at, [this](Ms) { hearing_busy_ = false; });
+  };
+  store_.submit(std::move(t));
+}
+
 // Our own record tells the others that we act on this view, and so no longer answer workers that
 // it took from us; and it carries our hold, which may have ended.
 void Controller::acknowledge_view(Ms now) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -122,6 +122,9 @@
   void keep_membership(Ms now);
   void join(Ms now);
   void acknowledge_view(Ms now);
+  // Gives up our machines when none of them reaches us, and takes them back when one can.
+  void keep_hearing(Ms now);
+  void set_deaf(bool deaf);
   void settle(Ms now, std::function<void(Ms)> done);
   wire::Guard view_guard() const { return store_.guard(std::string(wire::kViewKey)); }
   bool can_write(Ms now) const { return ready() && store_.answering(now); }
@@ -235,6 +238,8 @@
   bool joining_ = false;
   bool acknowledging_ = false;
   bool removing_ = false;
+  bool hearing_busy_ = false;
+  Ms hearing_at_ = 0;
   bool view_known_ = false;
   std::uint64_t known_epoch_ = 0;
   Ms join_after_ = 0;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -144,7 +144,7 @@
     std::uint32_t given = 0;
   };
   std::map<std::string, Part> parts;
-  for (const auto& name : membership_.live()) parts[name];
+  for (const auto& name : membership_.owners()) parts[name];
   for (const auto& [id, record] : replica_.machines()) {
     if (record.standing != wire::MachineStanding::ready || record.session == 0 ||
         !allowed(spec, record.type, record.zone, record.spot))
@@ -170,7 +170,7 @@
     }
   }
   const bool whole = spec.gang || spec.one_zone || spec.spread;
-  std::string first = membership_.keeper(wire::job_key(spec.id));
+  std::string first = rendezvous(wire::job_key(spec.id), membership_.owners());
   // Task by task to the part with most room left, then to the one least loaded for its size.
   // Large jobs go in larger steps; the outcome is nearly the same.
   const std::uint32_t step = std::max<std::uint32_t>(1, whole ? spec.tasks : spec.tasks / 256);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -50,10 +50,15 @@
 void Membership::update(const wire::ViewRecord& view) {
   epoch_ = view.epoch;
   live_.clear();
+  owners_.clear();
   by_zone_.clear();
   owner_cache_.clear();
   for (const auto& [name, incarnation] : view.live) {
     live_.push_back(name);
+    if (!view.deaf.contains(name)) owners_.push_back(name);
+  }
+  if (owners_.empty()) owners_ = live_;
+  for (const auto& name : owners_) {
     if (auto z = zone_of_.find(name); z != zone_of_.end()) by_zone_[z->second].push_back(name);
   }
 }
@@ -67,11 +72,13 @@
   if (auto it = owner_cache_.find(machine); it != owner_cache_.end()) return it->second;
   auto local = by_zone_.find(zone);
   return owner_cache_[machine] =
-             rendezvous(machine, local == by_zone_.end() ? live_ : local->second);
+             rendezvous(machine, local == by_zone_.end() ? owners_ : local->second);
 }
 
 std::string Membership::range_owner(const std::string& key, const std::string& recorded) const {
-  return is_live(recorded) ? recorded : rendezvous(key, live_);
+  return std::find(owners_.begin(), owners_.end(), recorded) != owners_.end()
+             ? recorded
+             : rendezvous(key, owners_);
 }
 
 std::uint64_t Membership::token(std::uint64_t epoch, std::uint64_t fence) {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -23,6 +23,8 @@
   void update(const wire::ViewRecord& view);
   std::uint64_t epoch() const { return epoch_; }
   const std::vector<std::string>& live() const { return live_; }
+  // Live controllers that may own machines and ranges.
+  const std::vector<std::string>& owners() const { return owners_; }
   bool is_live(const std::string& name) const;
 
   // Machines go to live controllers of their own zone, if there are any, else to all: when zones
@@ -39,6 +41,7 @@
   std::map<std::string, std::string> zone_of_;
   std::uint64_t epoch_ = 0;
   std::vector<std::string> live_;
+  std::vector<std::string> owners_;  // of those, the ones that workers can reach
   std::map<std::string, std::vector<std::string>> by_zone_;
   mutable std::map<std::string, std::string> owner_cache_;
 };
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -141,6 +141,7 @@
 std::string machine_list_path(std::string_view after, std::uint32_t most);
 // Requests to workers.
 constexpr const char* kOrdersPath = "/orders";
+constexpr const char* kStatusPath = "/status";
 // Requests to controllers.
 constexpr const char* kReportPath = "/hello";
 constexpr const char* kJobsPath = "/v1/jobs";
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -184,27 +184,40 @@
     put(w, "epoch", r.epoch);
     put_map(w, "live", r.live);
     put_map(w, "departed", r.departed);
+    w.Key("deaf");
+    w.StartArray();
+    for (const auto& name : r.deaf) put_text(w, name);
+    w.EndArray();
   });
 }
 
 bool decode(std::string_view text, ViewRecord& r) {
   rapidjson::Document doc;
-  return parse_object(text, doc) && read(doc, "epoch", r.epoch) && read_map(doc, "live", r.live) &&
-         read_map(doc, "departed", r.departed);
+  if (!parse_object(text, doc) || !read(doc, "epoch", r.epoch) || !read_map(doc, "live", r.live) ||
+      !read_map(doc, "departed", r.departed))
+    return false;
+  r.deaf.clear();
+  const Json* deaf = member(doc, "deaf");
+  if (!deaf) return true;
+  if (!deaf->IsArray()) return false;
+  for (const Json& name : deaf->GetArray()) {
+    if (!name.IsString()) return false;
+    r.deaf.emplace(name.GetString(), name.GetStringLength());
+  }
+  return true;
 }
 
 std::string encode(const LiveRecord& r) {
   return object([&](Writer& w) {
     put(w, "incarnation", r.incarnation);
     put(w, "epoch", r.epoch);
-    put_bool(w, "deaf", r.deaf);
   });
 }
 
 bool decode(std::string_view text, LiveRecord& r) {
   rapidjson::Document doc;
   return parse_object(text, doc) && read(doc, "incarnation", r.incarnation) &&
-         read(doc, "epoch", r.epoch) && read(doc, "deaf", r.deaf);
+         read(doc, "epoch", r.epoch);
 }
 
 std::string encode(const JobRecord& r) {
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -62,6 +63,7 @@
   std::uint64_t epoch = 0;
   std::map<std::string, std::string> live;      // name -> incarnation
   std::map<std::string, std::string> departed;  // may still be answering workers
+  std::set<std::string> deaf;                   // live, but workers cannot reach them: own nothing
 };
 std::string encode(const ViewRecord& r);
 bool decode(std::string_view text, ViewRecord& r);
@@ -69,7 +71,6 @@
 struct LiveRecord {
   std::string incarnation;
   std::uint64_t epoch = 0;
-  bool deaf = false;  // its workers cannot reach it
 };
 std::string encode(const LiveRecord& r);
 bool decode(std::string_view text, LiveRecord& r);
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -85,7 +85,7 @@
   s.zone = "x";
   s.peers = {{"b", "y", ""}, {"c", "x", ""}};
   Membership m(s);
-  wire::ViewRecord v{1, {{"a", "1"}, {"b", "2"}, {"c", "3"}}, {}};
+  wire::ViewRecord v{1, {{"a", "1"}, {"b", "2"}, {"c", "3"}}, {}, {}};
   m.update(v);
   std::map<std::string, std::string> before;
   std::set<std::string> used;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -311,6 +311,7 @@
         return;
       }
       worker_lease(*w);
+      if (call.path == "/status") return respond(200, worker_body(*w));
       rapidjson::Document doc;
       if (!wire::parse_object(call.body, doc)) return respond(400, "{}");
       const std::uint64_t token = doc["baton"].GetUint64();
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -133,7 +133,7 @@
 }
 
 TEST(Wire, OtherRecordsRoundTrip) {
-  ViewRecord view{7, {{"a", "1"}, {"b", "2"}}, {{"c", "3"}}}, view2;
+  ViewRecord view{7, {{"a", "1"}, {"b", "2"}}, {{"c", "3"}}, {"b"}}, view2;
   ASSERT_TRUE(decode(encode(view), view2));
   EXPECT_EQ(encode(view), encode(view2));
   QuotaRecord quota, quota2;
