--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -105,6 +105,8 @@
 constexpr std::int64_t kOrdersTimeoutMs = 1500;
 // Commands in one message to a worker; keeps any body far below 64 KiB.
 constexpr std::size_t kCommandsPerMessage = 200;
+// Direct commands that a silent machine leaves unanswered before it is returned to the cloud.
+constexpr int kProbesBeforeReturn = 1;
 // Milliseconds between direct messages to a machine that does not answer them.
 constexpr std::int64_t kOrdersRetryMs = 1000;
 
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -162,7 +162,7 @@
   // The task is not to be on any machine: cancelled, being stopped, or of a gang that failed.
   bool unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const;
   bool absence_open(const Machine& m) const;
-  void kick(Ms now, Machine& m);
+  void kick(Ms now, Machine& m, bool probe = false);
   void on_orders(Ms now, const std::string& id, std::uint64_t epoch, const Outcome& outcome);
   void watch_machines(Ms now);
   void learn_lease(Ms now, Machine& m) const;
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -369,7 +369,7 @@
   return absence_open(m);
 }
 
-void Controller::kick(Ms now, Machine& m) {
+void Controller::kick(Ms now, Machine& m, bool probe) {
   if (!ready() || m.address.empty() || m.session == 0 || superseded(now)) return;
   if (m.orders_in_flight) {
     m.kick_again = true;
@@ -377,7 +377,7 @@
   }
   if (now < m.orders_after) return;
   const auto list = commands(now, m);
-  if (!direct_needed(m, list)) return;
+  if (!probe && !direct_needed(m, list)) return;
   m.orders_in_flight = true;
   m.kick_again = false;
   call(Target::worker, m.address, "POST", wire::kOrdersPath,
@@ -474,6 +474,14 @@
         m.kick_again = true;
       }
     }
+    // Silent to reports and to a direct command while others are heard: most likely dead, hanging
+    // or taken. Returning it proves its tasks gone sooner than its lease does.
+    if (m.orders_failed >= k::kProbesBeforeReturn && now - m.heard_at > silent_after() &&
+        heard > silent && record && record->standing == wire::MachineStanding::ready &&
+        !replica_.placed_on(id).empty()) {
+      log(LogLevel::info, "machine " + id + " is silent; returning it");
+      write_machine(now, m, wire::MachineStanding::lost);
+    }
     if (m.notice && record && record->standing == wire::MachineStanding::ready)
       write_machine(now, m, wire::MachineStanding::draining);
     if (m.notice) {
@@ -498,8 +506,7 @@
     }
     const bool idle_probe = now - m.heard_at > silent_after() && now >= m.orders_after &&
                             !replica_.placed_on(id).empty();
-    if (idle_probe && !m.orders_in_flight) m.orders_after = now;
-    if (m.kick_again || now >= m.orders_after) kick(now, m);
+    if (m.kick_again || now >= m.orders_after) kick(now, m, idle_probe);
   }
 }
 
