--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cinttypes>
+#include <cmath>
 #include <cstdio>
 
 #include "core/constants.h"
@@ -115,7 +116,14 @@
 
 std::string Controller::status_line(Ms now) const {
   std::size_t placed = 0;
-  for (const auto& [id, m] : machines_) placed += replica_.placed_on(id).size();
+  double cpus = 0, free = 0;
+  for (const auto& [id, m] : machines_) {
+    placed += replica_.placed_on(id).size();
+    const auto* type = replica_.type(m.type);
+    if (!type || !usable(now, m)) continue;
+    cpus += type->cpus;
+    free += std::max(0.0, candidate(now, m).cpus);
+  }
   const auto busy = std::count_if(work_.begin(), work_.end(), [](const auto& w) {
     return w.second.busy || w.second.uncertain;
   });
@@ -125,8 +133,10 @@
          (store_.answering(now) ? "" : ", state silent") + ", jobs " +
          std::to_string(replica_.jobs().size()) + ", machines " + std::to_string(machines_.size()) +
          "/" + std::to_string(replica_.machines().size()) + ", placed " + std::to_string(placed) +
-         ", ranges being written " + std::to_string(busy) + ", quotas being written " +
-         std::to_string(quotas) + ", queued writes " + std::to_string(store_.queued());
+         ", CPUs free " + std::to_string(std::lround(free)) + "/" +
+         std::to_string(std::lround(cpus)) + ", ranges being written " + std::to_string(busy) +
+         ", quotas being written " + std::to_string(quotas) + ", queued writes " +
+         std::to_string(store_.queued());
 }
 
 // ---- changes ----
