--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -15,6 +15,9 @@
 constexpr int kPlacementsPerPass = 256;
 // Milliseconds between scheduling passes at most, for what becomes possible by time alone.
 constexpr std::int64_t kIdlePassMs = 200;
+// Seconds that a low-priority task must still have ahead for standard work to stop it; high and
+// production work stops any. Below it waiting is cheaper than saving, fetching and repeating.
+constexpr double kLongVictimS = 300.0;
 // Milliseconds that a range must have waited unstarted before another part may take from it: its
 // owner, which sees it first, gets the first try.
 constexpr std::int64_t kTakeOverAfterMs = 400;
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -460,6 +460,10 @@
         continue;
       const auto& v = job->record.spec;
       const double ran = elapsed_s(now, m, ref, p->attempt);
+      // Work that can wait a little does not stop what will soon end by itself: measured, each stop
+      // costs more than it brings (docs/design.md).
+      if (spec.priority < wire::Priority::high && remaining(v.estimate_s, ran) < k::kLongVictimS)
+        continue;
       const bool saves = v.checkpoint_s > 0 && v.save_s + 1.0 < wait_aim_s / 2;
       const double lost =
           v.checkpoint_s > 0 ? (saves ? v.save_s : std::min(ran, v.checkpoint_s / 2)) : ran;
