Machines on their way out do not make a controller think itself deaf

Only machines in use count now, and a part taken back is kept for 20 s at least. Also: a submission that met nothing but a change of view is written again instead of declined.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -46,6 +46,8 @@
 // Milliseconds beyond a machine's silence after which a controller that hears none of its machines
 // gives them up: well within their leases, so that another can keep those.
 constexpr std::int64_t kDeafAfterMs = 600;
+// Milliseconds after taking its part back before it may give it up again.
+constexpr std::int64_t kDeafAgainMs = 20'000;
 // Milliseconds between its attempts to reach one again.
 constexpr std::int64_t kDeafProbeMs = 2000;
 // Bits of a token below the epoch: fences raised per machine within one epoch.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -307,7 +307,9 @@
     if (membership_.owners().size() < 2) return;
     std::size_t silent = 0;
     for (const auto& [id, m] : machines_) {
-      if (m.session == 0) continue;
+      // Guards against taking machines that are on their way out for a sign of our own deafness.
+      const auto* record = replica_.machine(id);
+      if (m.session == 0 || !record || record->standing != wire::MachineStanding::ready) continue;
       if (now - m.heard_at <= silent_after() + k::kDeafAfterMs) return;
       ++silent;
     }
@@ -329,11 +331,13 @@
     return;
   }
   call(Target::worker, from[random_(static_cast<std::uint32_t>(from.size()))], "GET",
-       wire::kStatusPath, "", k::kOrdersTimeoutMs, [this](Ms, const Outcome& outcome) {
+       wire::kStatusPath, "", k::kOrdersTimeoutMs, [this](Ms at, const Outcome& outcome) {
          wire::MachineReport report;
          if (outcome.status == 200 && wire::parse_report(outcome.body, report) && ready() &&
-             replica_.view().deaf.contains(settings_.name))
+             replica_.view().deaf.contains(settings_.name)) {
            set_deaf(false);
+           hearing_at_ = at + k::kDeafAgainMs;
+         }
        });
 }
 
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -272,8 +272,15 @@
   t.urgent = true;
   t.give_up = now + k::kSubmitPatienceMs;
   ++waiting_requests_;
-  t.done = [this, request, id, known](Ms at, Committed result, const auto&) {
+  t.done = [this, request, id, known, body](Ms at, Committed result, const auto& failed) {
     --waiting_requests_;
+    if (result == Committed::conflict && failed.size() == 1 && failed[0] == wire::kViewKey) {
+      // Only the view has changed meanwhile; nothing speaks against the job itself.
+      store_.barrier(at, at + k::kPollPatienceMs, [this, request, body](Ms then, bool ok) {
+        ok ? on_submit(then, request, body) : decline(request, k::kRetryAfterS);
+      });
+      return;
+    }
     if (result == Committed::yes) {
       answer(request, 201, wire::job_state_body(id, wire::JobState::queued));
     } else if (result == Committed::conflict) {
