Low work with an open aim queues with standard work

Cause: with strict priority in the queue, reruns waited behind every standard task for as long as a burst lasted and missed aims that weigh as much.

--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -184,7 +184,10 @@
   }
   Urgency u;
   u.hopeless = missed > 0 && open == 0;
-  u.priority = -static_cast<int>(spec.priority);
+  // While its class has an aim to meet, low work waits in one queue with standard work (measured,
+  // docs/design.md); it still stops nothing and may be stopped.
+  const auto rank = open > 0 ? std::max(spec.priority, wire::Priority::normal) : spec.priority;
+  u.priority = -static_cast<int>(rank);
   u.left = static_cast<double>(left) * spec.estimate_s * std::max(spec.cpus, 0.1);
   return u;
 }
