--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -23,6 +23,7 @@
   int left = k::kPlacementsPerPass;
   std::set<RangeId> changed;
   std::map<std::string, wire::QuotaRecord::Amount> used;  // of our grants, by team
+  std::map<std::string, Usage> team_usage;                // of all parts, as of the pass's start
   std::vector<const wire::JobSpec*> failed;               // shapes that found no room
 };
 
@@ -429,7 +430,23 @@
 // Stops what may be stopped for this task on the machine where that loses least; returns the
 // machine, with its room counted as free, or -1.
 int Controller::make_room(Ms now, Pass& pass, const wire::JobSpec& spec) {
-  if (spec.priority == wire::Priority::low) return -1;
+  // A team that stays within its guarantee need not wait for what another runs beyond its own.
+  auto within = [this, &pass](const std::string& name, const wire::JobSpec& more) {
+    const Team* t = team(name);
+    if (!t || (t->cpus <= 0 && t->gpus <= 0)) return false;
+    auto [used, fresh] = pass.team_usage.try_emplace(name);
+    if (fresh) used->second = replica_.usage(name);
+    const Usage& u = used->second;
+    return u.cpus + more.cpus <= t->cpus + 1e-6 && u.gpus + more.gpus <= t->gpus + 1e-6;
+  };
+  const bool entitled = within(spec.team, spec);
+  if (spec.priority == wire::Priority::low && !entitled) return -1;
+  std::map<std::string, bool> borrows;  // team -> runs beyond its guarantee
+  if (entitled) {
+    const wire::JobSpec nothing;
+    for (const auto& t : settings_.teams)
+      borrows[t.name] = t.name != spec.team && !within(t.name, nothing);
+  }
   double wait_aim_s = 1e9;
   for (const auto& o : settings_.objectives)
     if (o.kind == "wait" && o.job_class == spec.job_class) wait_aim_s = o.within_s;
@@ -453,8 +470,10 @@
     for (const TaskRef& ref : replica_.placed_on(m.id)) {
       const auto* p = replica_.placement(ref);
       const Job* job = replica_.job(ref.range.job);
-      if (!p || !job || job->record.spec.gang || job->record.spec.priority >= spec.priority)
-        continue;
+      if (!p || !job || job->record.spec.gang) continue;
+      const bool lower = job->record.spec.priority < spec.priority;
+      const bool borrowed = entitled && borrows[job->record.spec.team];
+      if (!lower && !borrowed) continue;
       const wire::TaskId task{ref.range.job, ref.index};
       auto seen = m.tasks.find(task);
       if (m.halts.contains(task) || seen == m.tasks.end() || seen->second.attempt != p->attempt ||
