--- a/src/core/cloud.cpp
+++ b/src/core/cloud.cpp
@@ -11,12 +11,6 @@
 namespace k = constants;
 
 namespace {
-constexpr Ms kReturnEveryMs = 500;        // between looks for machines to return
-constexpr Ms kHireRetryMs = 2000;         // before an unanswered rental request is repeated
-constexpr std::size_t kReturnMost = 100;  // names in one request (PROTOCOL)
-constexpr std::uint32_t kListPage = 500;  // machines in one page (PROTOCOL)
-
-std::string machine_key(const std::string& id) { return std::string(wire::kMachinePrefix) + id; }
 std::string hire_key(const std::string& name) { return std::string(wire::kHirePrefix) + name; }
 }  // namespace
 
@@ -35,6 +29,13 @@
   if (!can_write(now) || !keeps_cloud()) {
     listed_.clear();
     listed_at_ = 0;
+    if (!keeps_cloud()) {
+      // Somebody else's now; what was under way fails by its view.
+      fleet_pending_.clear();
+      hires_settled_.clear();
+      hires_busy_.clear();
+      unlisted_since_.clear();
+    }
     return;
   }
   if (!catalog_busy_ && now >= catalog_at_) read_catalog(now);
@@ -46,6 +47,7 @@
   if (now >= size_at_) size_fleet(now);
   if (now >= hires_at_) repeat_hires(now);
   if (!return_busy_ && now >= return_at_) return_machines(now);
+  write_fleet(now);
 }
 
 void Controller::read_catalog(Ms now) {
@@ -73,8 +75,8 @@
 }
 
 void Controller::read_list(Ms now, std::string after) {
-  call(Target::cloud, "", "GET", wire::machine_list_path(after, kListPage), "", k::kCloudTimeoutMs,
-       [this](Ms at, const Outcome& outcome) {
+  call(Target::cloud, "", "GET", wire::machine_list_path(after, k::kListPage), "",
+       k::kCloudTimeoutMs, [this](Ms at, const Outcome& outcome) {
          bool more = false;
          if (outcome.status != 200 || !wire::parse_machine_list(outcome.body, listing_, more)) {
            list_busy_ = false;
@@ -98,25 +100,17 @@
 
 void Controller::set_standing(const std::string& id, wire::MachineRecord record,
                               wire::MachineStanding standing) {
-  if (!record_busy_.insert(id).second) return;
   record.standing = standing;
-  Transaction t;
-  t.guards = {view_guard(), store_.guard(machine_key(id))};
-  t.writes = {{machine_key(id), encode(record), std::nullopt}};
-  t.done = [this, id](Ms at, Committed result, const auto&) {
-    auto release = [this, id](Ms) { record_busy_.erase(id); };
-    result == Committed::yes ? release(at) : settle(at, release);
-  };
-  store_.submit(std::move(t));
+  record.session = 0;
+  fleet_pending_[id] = std::move(record);
 }
 
 void Controller::on_list(Ms now) {
   std::vector<std::string> unknown_failed;
   for (const auto& [id, m] : listed_) {
-    first_listed_.emplace(id, now);
     const auto* record = replica_.machine(id);
     if (!record) {
-      if (gone_since_.contains(id)) continue;  // an old list
+      if (gone_since_.contains(id) || fleet_pending_.contains(id)) continue;  // an old list
       if (m.state == wire::CloudState::failed) {
         unknown_failed.push_back(id);
         continue;
@@ -150,19 +144,26 @@
   }
   if (!unknown_failed.empty()) return_now(now, std::move(unknown_failed));
   // Recorded, never heard, and not in the list although it has had time to appear.
+  const Ms patience = static_cast<Ms>(settings_.list_lag_s * 3000.0) + k::kGoneKeptMs;
+  std::erase_if(gone_since_, [&](const auto& g) {
+    return !replica_.machine(g.first) && now - g.second > 2 * patience;
+  });
+  std::erase_if(unlisted_since_, [this](const auto& u) { return listed_.contains(u.first); });
   for (const auto& [id, record] : replica_.machines()) {
-    if (listed_.contains(id)) {
-      gone_since_.erase(id + "?");
-      continue;
-    }
-    auto [since, added] = gone_since_.emplace(id + "?", now);
-    const Ms patience = static_cast<Ms>(settings_.list_lag_s * 3000.0) + k::kGoneKeptMs;
-    if (now - since->second > patience && record.standing == wire::MachineStanding::ready &&
-        record.session == 0) {
+    if (listed_.contains(id) || record.standing != wire::MachineStanding::ready) continue;
+    const Ms since = unlisted_since_.emplace(id, now).first->second;
+    if (now - since > patience && record.session == 0) {
       log(LogLevel::info, "machine " + id + " is not listed");
       set_standing(id, record, wire::MachineStanding::lost);
     }
   }
+  // Placements on a machine that is neither recorded nor listed: it is returned, which proves them
+  // gone. Guards against tasks that nobody could ever free.
+  for (const auto& id : replica_.unrecorded()) {
+    if (listed_.contains(id) || fleet_pending_.contains(id)) continue;
+    const Ms since = unlisted_since_.emplace(id, now).first->second;
+    if (now - since > patience) set_standing(id, {}, wire::MachineStanding::lost);
+  }
 }
 
 void Controller::size_fleet(Ms now) {
@@ -176,7 +177,7 @@
   for (const auto& [name, hire] : replica_.hires())
     held[{hire.type, hire.zone, hire.spot}] += static_cast<int>(hire.count);
   const auto work = demand();
-  if (replica_.hires().empty()) {
+  if (replica_.hires().empty() && hires_out_ == 0) {
     for (auto request : fleet_.to_rent(now, work, replica_.catalog(), held)) {
       // Never reused: no two runs of any controller share an incarnation.
       request.name = settings_.name + "-" + incarnation_ + "-" + std::to_string(++hire_number_);
@@ -185,7 +186,12 @@
       Transaction t;
       t.guards = {view_guard(), {hire_key(request.name), 0}};
       t.writes = {{hire_key(request.name), encode(request), std::nullopt}};
-      t.done = [this](Ms, Committed, const auto&) { hires_at_ = 0; };
+      ++hires_out_;
+      t.done = [this](Ms at, Committed result, const auto&) {
+        hires_at_ = 0;
+        auto release = [this](Ms) { --hires_out_; };
+        result == Committed::yes ? release(at) : settle(at, release);
+      };
       store_.submit(std::move(t));
     }
   }
@@ -224,50 +230,47 @@
                outcome.status == 503 && outcome.body.find("capacity") != std::string::npos;
            if (full || (rented && ids.size() < request.count))
              fleet_.refused(at, {request.type, request.zone, request.spot});
-           auto later = [this, name = request.name](Ms) {
-             hires_busy_.erase(name);
-             hires_at_ = 0;
-           };
            if (!rented && !full && outcome.status != 400) {
              // Unanswered or not now: the same name again, which rents nothing twice.
-             hires_at_ = at + kHireRetryMs;
+             hires_at_ = at + k::kHireRetryMs;
              hires_busy_.erase(request.name);
              return;
            }
-           Transaction t;
-           t.guards = {view_guard(), store_.guard(hire_key(request.name))};
-           t.writes = {{hire_key(request.name), std::nullopt, std::nullopt}};
-           for (const auto& id : ids) {
-             if (replica_.machine(id)) continue;  // heard or listed already
-             wire::MachineRecord record;
-             record.type = request.type;
-             record.zone = request.zone;
-             record.spot = request.spot;
-             t.guards.push_back({machine_key(id), 0});
-             t.writes.push_back({machine_key(id), encode(record), std::nullopt});
-           }
-           t.done = [this, later](Ms then, Committed result, const auto&) {
-             result == Committed::yes ? later(then) : settle(then, later);
-           };
-           store_.submit(std::move(t));
+           finish_hire(at, request, ids);
          });
   }
 }
 
+void Controller::finish_hire(Ms now, const wire::RentRequest& request,
+                             const std::vector<std::string>& ids) {
+  if (!keeps_cloud()) return;
+  for (const auto& id : ids) {
+    if (replica_.machine(id) || fleet_pending_.contains(id)) continue;  // listed already
+    wire::MachineRecord record;
+    record.type = request.type;
+    record.zone = request.zone;
+    record.spot = request.spot;
+    set_standing(id, record, wire::MachineStanding::ready);
+  }
+  hires_settled_[request.name] = {ids.begin(), ids.end()};
+  write_fleet(now);
+}
+
 void Controller::return_now(Ms now, std::vector<std::string> ids) {
   (void)now;
   if (ids.empty()) return;
-  if (ids.size() > kReturnMost) ids.resize(kReturnMost);
+  if (ids.size() > k::kReturnMost) ids.resize(k::kReturnMost);
   return_busy_ = true;
   const std::string body = wire::return_body(ids);
   call(Target::cloud, "", "POST", wire::kReturnPath, body, k::kCloudTimeoutMs,
        [this, ids](Ms at, const Outcome& outcome) {
          return_busy_ = false;
-         return_at_ = at + kReturnEveryMs;
+         return_at_ = at + k::kReturnEveryMs;
          if (outcome.status != 200) return;
          // The cloud's word: the machines and all on them are gone.
          for (const auto& id : ids) {
            gone_since_[id] = at;
+           unlisted_since_.erase(id);
            const auto* record = replica_.machine(id);
            if (record && record->standing != wire::MachineStanding::gone && can_write(at))
              set_standing(id, *record, wire::MachineStanding::gone);
@@ -276,10 +279,10 @@
 }
 
 void Controller::return_machines(Ms now) {
-  return_at_ = now + kReturnEveryMs;
+  return_at_ = now + k::kReturnEveryMs;
   std::vector<std::string> ids;
   for (const auto& [id, record] : replica_.machines()) {
-    if (record_busy_.contains(id)) continue;
+    if (fleet_pending_.contains(id)) continue;
     const bool empty = replica_.placed_on(id).empty();
     switch (record.standing) {
       case wire::MachineStanding::lost:
@@ -293,15 +296,7 @@
         auto [since, added] = gone_since_.emplace(id, now);
         const Ms kept = k::kGoneKeptMs + static_cast<Ms>(settings_.list_lag_s * 3000.0);
         if (!empty || now - since->second < kept || listed_.contains(id)) break;
-        record_busy_.insert(id);
-        Transaction t;
-        t.guards = {view_guard(), store_.guard(machine_key(id))};
-        t.writes = {{machine_key(id), std::nullopt, std::nullopt}};
-        t.done = [this, id](Ms at, Committed result, const auto&) {
-          auto release = [this, id](Ms) { record_busy_.erase(id); };
-          result == Committed::yes ? release(at) : settle(at, release);
-        };
-        store_.submit(std::move(t));
+        fleet_pending_[id] = std::nullopt;
         break;
       }
       case wire::MachineStanding::ready:
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -13,6 +13,29 @@
 constexpr double kOverrunAllowanceS = 10.0;
 // Tasks placed in one scheduling pass; bounds the time of a pass on a small processor share.
 constexpr int kPlacementsPerPass = 256;
+// Milliseconds between passes at least; a pass takes about a millisecond.
+constexpr std::int64_t kPassEveryMs = 25;
+// Milliseconds before a refused write is tried again.
+constexpr std::int64_t kRefusedRetryMs = 250;
+// Milliseconds between looks at the grants of teams' limits.
+constexpr std::int64_t kGrantsEveryMs = 100;
+// Ranges of one job, so that one transaction can end it (conditions).
+constexpr std::size_t kRangesPerJob = 48;
+// Tasks that go to one part together when a job is divided, so that a small job has few records,
+// and steps of a large one at most.
+constexpr std::uint32_t kTasksPerStep = 16;
+constexpr std::uint32_t kStepsPerJob = 256;
+// Milliseconds within which the ends of tasks are recorded, and for which they are at least
+// gathered: records of a hundred tasks each would otherwise be written at every end.
+constexpr std::int64_t kDoneWithinMs = 4000;
+constexpr std::int64_t kDoneGatherMs = 500;
+// Machines drawn to find the one where making room loses least.
+constexpr int kRoomSamples = 12;
+// Seconds after which a job that has nothing started goes before all others with its first tasks,
+// and how many in each range. The largest must begin within 240 s (four minutes); starts take
+// seconds, but more than one such job may be due at once.
+constexpr double kBeginWithinS = 120.0;
+constexpr std::uint32_t kTasksToBegin = 8;
 // Milliseconds between scheduling passes at most, for what becomes possible by time alone.
 constexpr std::int64_t kIdlePassMs = 200;
 // Seconds that a low-priority task must still have ahead for standard work to stop it; high and
@@ -28,10 +51,10 @@
 constexpr double kSilentIntervals = 2.6;
 // Tasks of one range record; the bitmap then takes 2 KiB of the value as hexadecimal digits.
 constexpr std::uint32_t kTasksPerRange = 8192;
-// Bytes of a range record that a placement takes at most ("12345,12," and its share of a group).
-constexpr std::size_t kBytesPerPlacement = 20;
-// Bytes of a range record besides placements: owner, bounds, bitmap.
-constexpr std::size_t kRangeOverheadBytes = 2600;
+// Bytes that a placement usually takes of a range record when each is on a machine of its own.
+constexpr std::size_t kBytesPerPlacement = 30;
+// Bytes of a range record besides placements and bitmap: owner, bounds.
+constexpr std::size_t kRangeOverheadBytes = 200;
 
 // ---- membership ----
 // Life of a controller's hold, milliseconds. Longer than a restart (about 3 s) so that a crash
@@ -78,6 +101,8 @@
 constexpr int kTransactionsInFlight = 3;
 // Bytes of one transaction's body (limit 64 KiB), with room for its frame.
 constexpr std::size_t kTransactionBytes = 56 * 1024;
+// Share of a second's writes that must be left for what can wait to be written.
+constexpr double kSpareShare = 0.5;
 // Conditions per put allowed in a transaction (PROTOCOL).
 constexpr std::size_t kGuardsPerWrite = 4;
 // Milliseconds between probes while the service does not answer.
@@ -115,6 +140,22 @@
 // Milliseconds between direct messages to a machine that does not answer them.
 constexpr std::int64_t kOrdersRetryMs = 1000;
 
+// Times that this interval doubles while a machine goes on not answering.
+constexpr int kOrdersRetryDoubles = 3;
+// Direct messages under way at once, each on a socket: to machines that answer, and to others.
+constexpr int kOrdersInFlight = 64;
+constexpr int kProbesInFlight = 8;
+// Milliseconds between looks at silent machines; a tenth of the shortest report interval known.
+constexpr std::int64_t kLookEveryMs = 100;
+// Milliseconds for which machines of a zone that is mostly silent are kept: it is cut off, most
+// likely, and they go on as they are. Cuts last a minute as a rule.
+constexpr std::int64_t kZoneCutPatienceMs = 120'000;
+// Worker leases for which a machine may be out of reach, though it reports, before it is returned.
+constexpr double kUnreachedLeases = 2.0;
+// Milliseconds within which it is recorded that a machine was heard: machines come in waves, and
+// one write then carries many.
+constexpr std::int64_t kHeardWithinMs = 1500;
+
 // ---- machines ----
 // Jobs whose tasks must have failed on a machine before it counts as sick.
 constexpr std::size_t kSickJobs = 2;
@@ -146,8 +187,19 @@
 // Nominal boot times after which a machine that is not up counts as stuck, and seconds added.
 constexpr double kStuckBoots = 4.0;
 constexpr double kStuckBootS = 30.0;
-// Machines rented in one request.
-constexpr std::uint32_t kRentAtOnce = 10;
+// Milliseconds between looks for machines to return.
+constexpr std::int64_t kReturnEveryMs = 500;
+// Milliseconds before an unanswered rental request is repeated.
+constexpr std::int64_t kHireRetryMs = 2000;
+// Names in one request to return machines, and machines in one page of the list (PROTOCOL).
+constexpr std::size_t kReturnMost = 100;
+constexpr std::uint32_t kListPage = 500;
+// Machines rented in one request (PROTOCOL: 50 at most).
+constexpr std::uint32_t kRentAtOnce = 50;
+// Bytes that a machine takes of a shared record, with room for longer names than usual.
+constexpr std::size_t kBytesPerMachine = 112;
+// Groups of machines written in one transaction at most; keeps it below its size.
+constexpr std::size_t kFleetGroupsAtOnce = 6;
 // Milliseconds that the record of a machine that is gone is kept beyond what old lists may show.
 constexpr std::int64_t kGoneKeptMs = 60'000;
 
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -41,6 +41,7 @@
   keep_membership(now);
   after_changes(now);
   watch_machines(now);
+  write_parts(now);
   keep_quotas(now);
   if (now >= schedule_after_ + (dirty_ ? 0 : k::kIdlePassMs)) schedule(now);
   finish_jobs(now);
@@ -154,22 +155,14 @@
     auto it = machines_.find(id);
     const auto* record = replica_.machine(id);
     if (it == machines_.end() && record && ready() &&
-        membership_.machine_owner(id, record->zone) == settings_.name) {
-      Machine& m = machines_[id];
-      m.id = id;
-      m.address = record->address;
-      m.type = record->type;
-      m.zone = record->zone;
-      m.spot = record->spot;
-      m.owner_since = membership_.epoch();
-      m.session = record->session;
-      m.heard_at = now;
-      it = machines_.find(id);
-    }
+        membership_.machine_owner(id, record->zone) == settings_.name)
+      it = own(now, id);
     if (it == machines_.end()) continue;
-    if (record && it->second.address.empty()) it->second.address = record->address;
-    reconcile(now, it->second);
-    kick(now, it->second);
+    Machine& m = it->second;
+    m.candidate_known = false;
+    refresh(m);
+    reconcile(now, m);
+    kick(now, m);
   }
   for (const auto& id : replica_.take_changed_jobs()) {
     dirty_ = true;
@@ -177,6 +170,18 @@
   }
 }
 
+// A machine that is recorded and of our part.
+std::map<std::string, Controller::Machine>::iterator Controller::own(Ms now,
+                                                                     const std::string& id) {
+  auto it = machines_.try_emplace(id).first;
+  Machine& m = it->second;
+  m.id = id;
+  m.owner_since = membership_.epoch();
+  m.heard_at = now;  // no verdict before it had time to reach us
+  refresh(m);
+  return it;
+}
+
 void Controller::on_view(Ms now) {
   const auto& view = replica_.view();
   if (view_known_ && view.epoch == known_epoch_) return;
@@ -198,6 +203,7 @@
       continue;
     }
     if (skipped) {  // may have been another's in between
+      it->second.candidate_known = false;
       it->second.owner_since = view.epoch;
       it->second.touched = false;
       it->second.lease_known = false;
@@ -206,17 +212,8 @@
   }
   if (member) {
     for (const auto& [id, record] : replica_.machines()) {
-      if (machines_.contains(id) || membership_.machine_owner(id, record.zone) != settings_.name)
-        continue;
-      Machine& m = machines_[id];
-      m.id = id;
-      m.address = record.address;
-      m.type = record.type;
-      m.zone = record.zone;
-      m.spot = record.spot;
-      m.session = record.session;
-      m.owner_since = view.epoch;
-      m.heard_at = now;  // no verdict before it had time to reach us
+      if (!machines_.contains(id) && membership_.machine_owner(id, record.zone) == settings_.name)
+        own(now, id);
     }
   }
   for (const auto& [id, job] : replica_.jobs()) check_finish_.insert(id);  // its keeper may be new
@@ -308,8 +305,7 @@
     std::size_t silent = 0;
     for (const auto& [id, m] : machines_) {
       // Guards against taking machines that are on their way out for a sign of our own deafness.
-      const auto* record = replica_.machine(id);
-      if (m.session == 0 || !record || record->standing != wire::MachineStanding::ready) continue;
+      if (m.session == 0 || !m.recorded || m.standing != wire::MachineStanding::ready) continue;
       if (now - m.heard_at <= silent_after() + k::kDeafAfterMs) return;
       ++silent;
     }
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -72,6 +72,7 @@
     std::uint64_t token_seen = 0;
     std::uint64_t start_token = 0;  // highest token with which a start was sent
     std::uint64_t session = 0, sequence = 0;
+    std::pair<std::uint64_t, std::uint64_t> last_report;  // counters of the newest report
     Ms heard_at = 0;
     Ms lease_from = 0;  // no answer that counts was given after this
     bool lease_known = false;
@@ -82,11 +83,22 @@
     std::map<wire::TaskId, std::uint64_t> unseen_starts;             // attempt -> its last token
     std::vector<std::string> images;
     Ms no_room_until = 0;
+    // From our records: whether the machine is recorded, and what is to become of it, including a
+    // verdict of ours that is still to be written.
+    bool recorded = false;
+    wire::MachineStanding standing = wire::MachineStanding::ready;
+    // Reports show that a machine is there, not that anything reaches it. Only what it received
+    // does: an answer to a direct message, a task that we started, a token that only we had given.
+    Ms unreached_since = 0;         // 0: no sign that it is out of reach
+    std::uint64_t reach_token = 0;  // a token that it can only show if something reached it since
+    bool doubted = false;           // reports look old: late copies, or it has restarted
+    // What we placed on it as seen by placement; rebuilt when something of it changes.
+    mutable Candidate candidate;
+    mutable bool candidate_known = false;
     bool orders_in_flight = false;
     bool kick_again = false;
     Ms orders_after = 0;
     int orders_failed = 0;
-    bool record_busy = false;
     double reserved_cpus = 0, reserved_gpus = 0, reserved_memory = 0;
   };
   struct Freed {
@@ -98,6 +110,7 @@
     Ms retry_at = 0;
     Ms first_seen = 0;
     std::map<std::uint32_t, Freed> freed;              // proven, to be recorded
+    Ms freed_since = 0;                                // of the first of them
     std::map<std::uint32_t, wire::Placement> placing;  // being written
     std::uint32_t cursor = 0;                          // no unstarted task before it
     bool want_stop = false;                            // gang to be stopped in good order
@@ -119,6 +132,7 @@
   void on_item(Ms now, const wire::StoredItem& item);
   void after_changes(Ms now);
   void on_view(Ms now);
+  std::map<std::string, Machine>::iterator own(Ms now, const std::string& id);
   void keep_membership(Ms now);
   void join(Ms now);
   void acknowledge_view(Ms now);
@@ -143,14 +157,16 @@
                                    std::uint64_t running)>;
   void lookup(Ms now, std::uint64_t request, const std::string& job, Ms give_up, Found found);
   std::string verdict(const wire::JobSpec& spec) const;
-  std::vector<wire::RangeRecord> divide(const wire::JobSpec& spec) const;
   wire::JobState state_of(const Job& job) const;
   void finish_jobs(Ms now);
   void finish(const std::string& id, const Job& job);
 
   // ---- workers.cpp ----
   void on_report(Ms now, std::uint64_t request, const std::string& body);
-  void take_report(Ms now, Machine& m, const wire::MachineReport& report);
+  // False when the report says nothing new.
+  bool take_report(Ms now, Machine& m, const wire::MachineReport& report);
+  void restarted(Ms now, Machine& m, const wire::MachineReport& report);
+  void out_of_reach(Ms now, Machine& m);
   void reconcile(Ms now, Machine& m);
   void free_task(const TaskRef& ref, std::uint64_t attempt, bool done);
   void on_exit(Ms now, Machine& m, const TaskRef& ref, const Seen& seen);
@@ -163,19 +179,35 @@
   bool unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const;
   bool absence_open(const Machine& m) const;
   void kick(Ms now, Machine& m, bool probe = false);
-  void on_orders(Ms now, const std::string& id, std::uint64_t epoch, const Outcome& outcome);
+  // Session and sequence of a machine, by which messages are ordered.
+  using Counters = std::pair<std::uint64_t, std::uint64_t>;
+  void on_orders(Ms now, const std::string& id, std::uint64_t epoch, Counters asked,
+                 const Outcome& outcome);
   void watch_machines(Ms now);
   void learn_lease(Ms now, Machine& m) const;
   bool lease_over(Ms now, const Machine& m) const;
-  void write_machine(Ms now, Machine& m, wire::MachineStanding standing);
   bool usable(Ms now, const Machine& m) const;
   bool others_yielded(std::uint64_t epoch) const;
   Ms silent_after() const;
 
+  // ---- machine_records.cpp ----
+  // What this controller wants recorded of machines of one group; written together.
+  struct PartWrite {
+    bool busy = false;
+    Ms due = 0;
+    std::map<std::string, wire::PartRecord::Heard> pending;
+  };
+  void refresh(Machine& m) const;  // from the records
+  void note_machine(Ms now, Machine& m, wire::MachineStanding standing, Ms within);
+  void write_parts(Ms now);
+  void write_fleet(Ms now);
+  double value_bytes() const { return settings_.value_kb * 1024.0; }
+
   // ---- schedule.cpp ----
-  struct Pass;
+  struct Pass;  // pass.h
   // Order of scheduling, smallest first.
   struct Urgency {
+    bool begun = true;
     bool hopeless = false;  // meets none of its class's aims any more
     int priority = 0;       // negated: high first
     double left = 0;        // work, in CPU seconds by the estimate
@@ -183,23 +215,40 @@
   };
   Urgency urgency_of(Ms now, const Job& job) const;
   void schedule(Ms now);
-  Candidate candidate(Ms now, const Machine& m) const;
-  Candidate foreign_candidate(const std::string& id, const wire::MachineRecord& record) const;
-  bool place_array(Ms now, Pass& pass, const RangeId& id, const Job& job,
-                   const wire::RangeRecord& range);
-  bool place_gang(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range);
-  int make_room(Ms now, Pass& pass, const wire::JobSpec& spec);
-  void take_ranges(Ms now, Pass& pass);
+  Candidate& candidate(Ms now, const Machine& m) const;
+  Candidate foreign_candidate(Ms now, const std::string& id,
+                              const wire::MachineRecord& record) const;
+  void add_foreign(Pass& pass);
+  void place_array(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range,
+                   const Urgency& urgency);
   bool zone_allows(const Job& job, const std::string& zone) const;
-  bool grant_allows(Pass& pass, const wire::JobSpec& spec);
   void assign(Pass& pass, RangeWork& work, const RangeId& id, const Job& job, std::uint32_t task,
-              std::uint64_t attempt, int machine);
-  void write_range(const RangeId& id);
-  void write_taken(const RangeId& from, std::uint32_t first, const RangeId& to);
+              std::uint64_t attempt, int machine, bool booked);
+  void drop_placing(RangeWork& work, std::size_t count);
   void clear_placing(RangeWork& work);
-  std::size_t placed_most() const;
   bool unstarted(const RangeWork& work, const wire::RangeRecord& range, std::uint32_t task) const;
   double elapsed_s(Ms now, const Machine& m, const TaskRef& ref, std::uint64_t attempt) const;
+  static Ms ends_at(Ms from, const wire::JobSpec& spec);
+
+  // ---- gangs.cpp ----
+  void place_gang(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range);
+  std::vector<int> hold_gang(Pass& pass, const wire::JobSpec& spec, bool foreign,
+                             const std::string& only);
+
+  // ---- room.cpp ----
+  int make_room(Pass& pass, const wire::JobSpec& spec);
+
+  // ---- ranges.cpp ----
+  std::size_t placed_most(std::uint32_t tasks) const;
+  std::vector<wire::RangeRecord> divide(const wire::JobSpec& spec) const;
+  void take_ranges(Ms now, Pass& pass);
+  double room_for(Pass& pass, const wire::JobSpec& spec) const;
+  void write_taken(const RangeId& from, std::uint32_t first, const RangeId& to);
+  bool pressing(Ms now, const RangeId& id, RangeWork& w) const;
+  void write_range(const RangeId& id);
+
+  // ---- grants.cpp ----
+  bool grant_allows(Pass& pass, const wire::JobSpec& spec);
   void keep_quotas(Ms now);
 
   // ---- cloud.cpp ----
@@ -211,8 +260,10 @@
   void repeat_hires(Ms now);
   void return_machines(Ms now);
   void return_now(Ms now, std::vector<std::string> ids);
+  // Asks for a change of the fleet's records; the next write carries it.
   void set_standing(const std::string& id, wire::MachineRecord record,
                     wire::MachineStanding standing);
+  void finish_hire(Ms now, const wire::RentRequest& request, const std::vector<std::string>& ids);
   bool keeps_cloud() const { return keeps("cloud"); }
   std::vector<Demand> demand() const;
 
@@ -247,6 +298,8 @@
 
   std::map<std::string, Machine> machines_;  // of our part
   std::map<RangeId, RangeWork> work_;
+  std::map<std::uint32_t, PartWrite> part_writes_;
+  int orders_out_ = 0, probes_out_ = 0;  // direct messages under way
   std::set<std::string> finishing_;
   std::set<std::string> check_finish_;
   bool dirty_ = false;
@@ -263,9 +316,14 @@
   std::map<std::string, wire::CloudMachine> listed_;
   Ms listed_at_ = 0;
   std::set<std::string> hires_busy_;
-  std::set<std::string> record_busy_;  // machine records being written by the cloud's keeper
+  // Changes of the fleet's records, as its keeper: machines (none: to be forgotten) and rental
+  // requests that are settled. One transaction at a time carries what there is.
+  std::map<std::string, std::optional<wire::MachineRecord>> fleet_pending_;
+  std::map<std::string, std::set<std::string>> hires_settled_;  // with the machines they brought
+  bool fleet_busy_ = false;
+  int hires_out_ = 0;  // rental requests being recorded
   std::map<std::string, Ms> gone_since_;
-  std::map<std::string, Ms> first_listed_;
+  std::map<std::string, Ms> unlisted_since_;
   std::uint64_t hire_number_ = 0;
   Ms surplus_since_ = 0;
 
--- /dev/null
+++ b/src/core/grants.cpp
@@ -0,0 +1,97 @@
+// Grants of teams' limits: what this controller may start, and moving grants between parts.
+#include <algorithm>
+#include <cmath>
+
+#include "core/constants.h"
+#include "core/controller.h"
+#include "core/pass.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+bool Controller::grant_allows(Pass& pass, const wire::JobSpec& spec) {
+  const Team* t = team(spec.team);
+  if (!t) return false;
+  if (!limited(*t)) return true;
+  if (quota_busy_[spec.team]) return false;  // our grant may just be shrinking
+  auto [used, fresh] = pass.used.try_emplace(spec.team);
+  if (fresh) {
+    const Usage u = replica_.usage(spec.team, settings_.name);
+    used->second = {u.cpus, u.gpus};
+    for (const auto& [id, w] : work_) {
+      const Job* job = w.placing.empty() ? nullptr : replica_.job(id.job);
+      if (!job || job->record.spec.team != spec.team) continue;
+      used->second.cpus += job->record.spec.cpus * static_cast<double>(w.placing.size());
+      used->second.gpus += job->record.spec.gpus * static_cast<double>(w.placing.size());
+    }
+  }
+  auto q = replica_.quotas().find(spec.team);
+  const bool ok = q != replica_.quotas().end() &&
+                  within_grant(*t, q->second, settings_.name, used->second, spec.cpus, spec.gpus);
+  return ok;
+}
+
+void Controller::keep_quotas(Ms now) {
+  if (!can_write(now) || now < quota_after_) return;
+  quota_after_ = now + k::kGrantsEveryMs;
+  for (const auto& t : settings_.teams) {
+    if (!limited(t) || (quota_busy_[t.name] && !quota_uncertain_.contains(t.name))) continue;
+    const auto need = quota_need_.find(t.name);
+    auto recorded = replica_.quotas().find(t.name);
+    const wire::QuotaRecord record =
+        recorded == replica_.quotas().end() ? wire::QuotaRecord{} : recorded->second;
+    const bool asked = std::any_of(record.wanted.begin(), record.wanted.end(), [](const auto& w) {
+      return w.second.cpus > 0 || w.second.gpus > 0;
+    });
+    const bool uncertain = quota_uncertain_.contains(t.name);
+    if (need == quota_need_.end() && !asked && !uncertain) continue;
+    QuotaInput in;
+    in.team = &t;
+    in.self = settings_.name;
+    in.live = membership_.live();
+    if (need != quota_need_.end()) in.need = need->second;
+    for (const auto& [who, grant] : record.grants) {
+      const Usage u = replica_.usage(t.name, who);
+      in.used[who] = {u.cpus, u.gpus};
+    }
+    const Usage own = replica_.usage(t.name, settings_.name);
+    in.used[settings_.name] = {own.cpus, own.gpus};
+    for (const auto& [id, w] : work_) {
+      const Job* job = w.placing.empty() ? nullptr : replica_.job(id.job);
+      if (!job || job->record.spec.team != t.name) continue;
+      in.used[settings_.name].cpus += job->record.spec.cpus * static_cast<double>(w.placing.size());
+      in.used[settings_.name].gpus += job->record.spec.gpus * static_cast<double>(w.placing.size());
+    }
+    auto next = next_quota(in, record);
+    if (!next && uncertain) next = record;  // the same again, with a new stamp
+    if (!next) continue;
+    const std::string key = std::string(wire::kQuotaPrefix) + t.name;
+    Transaction x;
+    x.guards = {view_guard(), store_.guard(key)};
+    x.writes = {{key, encode(*next), std::nullopt}};
+    quota_busy_[t.name] = true;
+    quota_uncertain_.erase(t.name);
+    x.done = [this, name = t.name, uncertain](Ms at, Committed result, const auto&) {
+      if (result == Committed::yes) {
+        quota_busy_[name] = false;
+        dirty_ = true;
+        return;
+      }
+      // Guards against a grant that shrinks late while we fill it: after a write without an answer
+      // nothing is placed from the grant until the record has been written again.
+      const bool open = result == Committed::unknown || (result == Committed::refused && uncertain);
+      settle(at, [this, name, open](Ms) {
+        if (open) {
+          quota_uncertain_.insert(name);
+        } else {
+          quota_busy_[name] = false;
+        }
+        dirty_ = true;
+      });
+    };
+    store_.submit(std::move(x));
+  }
+}
+
+}  // namespace puffinhaven::core
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -78,12 +78,18 @@
 }
 
 void Controller::on_health(Ms now, std::uint64_t request) {
-  bool healthy = ready();
+  bool healthy = ready() && !superseded(now);
   if (healthy && !store_.answering(now)) {
-    // An outage that all share is no reason to send users elsewhere; being refused alone is.
+    // An outage that all share is no reason to send users elsewhere; being cut off or refused alone
+    // is. A peer's word tells them apart. Without any: a state service that refuses us is there, so
+    // it is an outage as far as we know, but one that is silent is beyond a cut of ours.
+    bool word = false;
     for (const auto& [name, p] : peers_) {
-      if (p.state_answers && now - p.heard_at < 2 * k::kStateSilentMs) healthy = false;
+      if (now - p.heard_at >= 2 * k::kStateSilentMs) continue;
+      word = true;
+      if (p.state_answers) healthy = false;
     }
+    if (!word && !settings_.peers.empty() && store_.silent(now)) healthy = false;
   }
   if (healthy) {
     answer(request, 200, "{}");
@@ -122,103 +128,12 @@
   if ((t->cpus_max > 0 && n * spec.cpus > t->cpus_max) ||
       (t->gpus_max > 0 && n * spec.gpus > t->gpus_max))
     return "needs more than the team's limit";
-  if (spec.gang && spec.tasks > placed_most()) return "gang is too large";
+  if (spec.gang && spec.tasks > placed_most(spec.tasks)) return "gang is too large";
   if (spec.gang && spec.one_zone && spec.spread && spec.tasks > 1)
     return "together and scatter exclude each other";
   return "";
 }
 
-std::vector<wire::RangeRecord> Controller::divide(const wire::JobSpec& spec) const {
-  auto make = [&](std::uint32_t begin, std::uint32_t end, const std::string& owner) {
-    wire::RangeRecord r;
-    r.job = spec.id;
-    r.owner = owner;
-    r.begin = begin;
-    r.end = end;
-    r.done.assign(end - begin, false);
-    return r;
-  };
-  // Free room and load of each part, in tasks of this job.
-  struct Part {
-    double room = 0, capacity = 0, load = 0;
-    std::uint32_t given = 0;
-  };
-  std::map<std::string, Part> parts;
-  for (const auto& name : membership_.owners()) parts[name];
-  for (const auto& [id, record] : replica_.machines()) {
-    if (record.standing != wire::MachineStanding::ready || record.session == 0 ||
-        !allowed(spec, record.type, record.zone, record.spot))
-      continue;
-    const auto* type = replica_.type(record.type);
-    auto part = parts.find(membership_.machine_owner(id, record.zone));
-    if (!type || part == parts.end()) continue;
-    const Candidate c = foreign_candidate(id, record);
-    part->second.room += fit_count(spec, c.cpus, c.gpus, c.memory_gb);
-    part->second.capacity += fit_count(spec, type->cpus, type->gpus, type->memory_gb);
-  }
-  // Unstarted work that is already theirs comes first.
-  for (const auto& [id, job] : replica_.jobs()) {
-    if (!job.known || job.record.cancelled) continue;
-    for (const auto& [number, r] : job.ranges) {
-      const double waiting =
-          (r.end - r.begin) - r.done_count() - static_cast<double>(r.placed.size());
-      auto part = parts.find(membership_.range_owner(wire::range_key(id, number), r.owner));
-      if (part == parts.end()) continue;
-      const double scale = spec.cpus > 0 ? job.record.spec.cpus / spec.cpus : 1.0;
-      if (job.record.spec.priority >= spec.priority) part->second.room -= waiting * scale;
-      part->second.load += waiting * scale;
-    }
-  }
-  const bool whole = spec.gang || spec.one_zone || spec.spread;
-  std::string first = rendezvous(wire::job_key(spec.id), membership_.owners());
-  // Task by task to the part with most room left, then to the one least loaded for its size.
-  // Large jobs go in larger steps; the outcome is nearly the same.
-  const std::uint32_t step = std::max<std::uint32_t>(1, whole ? spec.tasks : spec.tasks / 256);
-  for (std::uint32_t given = 0; given < spec.tasks;) {
-    const std::uint32_t n = std::min(step, spec.tasks - given);
-    Part* best = nullptr;
-    std::string best_name;
-    for (auto& [name, p] : parts) {
-      if (p.capacity <= 0) continue;
-      bool better = !best;
-      if (best) {
-        const bool has = p.room >= 1, best_has = best->room >= 1;
-        if (has != best_has) {
-          better = has;
-        } else if (has) {
-          better = p.room > best->room || (p.room == best->room && name == first);
-        } else {
-          better = (p.load + 1) / p.capacity < (best->load + 1) / best->capacity;
-        }
-      }
-      if (better) {
-        best = &p;
-        best_name = name;
-      }
-    }
-    if (!best) {
-      best = &parts[first];
-      best_name = first;
-    }
-    best->given += n;
-    best->room -= n;
-    best->load += n;
-    given += n;
-  }
-  std::vector<wire::RangeRecord> out;
-  std::uint32_t begin = 0;
-  for (const auto& [name, p] : parts) {
-    for (std::uint32_t left = p.given; left > 0;) {
-      const std::uint32_t n = std::min(left, k::kTasksPerRange);
-      out.push_back(make(begin, begin + n, name));
-      out.back().number = static_cast<std::uint32_t>(out.size());
-      begin += n;
-      left -= n;
-    }
-  }
-  return out;
-}
-
 void Controller::on_submit(Ms now, std::uint64_t request, const std::string& body) {
   wire::JobSpec spec;
   if (const std::string error = wire::parse_job(body, spec); !error.empty()) {
--- /dev/null
+++ b/src/core/machine_records.cpp
@@ -0,0 +1,177 @@
+// Records of machines. Many machines share a record and each record has one writer, so that a wave
+// of machines coming or going costs a few writes and no conflicts: the fleet's keeper writes which
+// machines there are, each controller what it heard from those of its part and decided on them.
+#include <algorithm>
+
+#include "core/constants.h"
+#include "core/controller.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+void Controller::refresh(Machine& m) const {
+  const auto* record = replica_.machine(m.id);
+  m.recorded = record != nullptr;
+  if (!record) return;
+  m.standing = std::max(m.standing, record->standing);
+  if (m.address.empty()) m.address = record->address;
+  if (m.type.empty()) {
+    m.type = record->type;
+    m.zone = record->zone;
+    m.spot = record->spot;
+  }
+  if (m.sequence > 0) return;
+  // Not heard yet: the newest session that anybody has recorded, or placed something in. Later ones
+  // can only mean that even more of its tasks are gone.
+  m.session = std::max(m.session, record->session);
+  for (const TaskRef& ref : replica_.placed_on(m.id))
+    if (const auto* p = replica_.placement(ref)) m.session = std::max(m.session, p->session);
+}
+
+void Controller::note_machine(Ms now, Machine& m, wire::MachineStanding standing, Ms within) {
+  const auto group = replica_.group_of(m.id);
+  m.standing = std::max(m.standing, standing);
+  if (!group) return;  // the fleet's keeper records it first; then we are asked again
+  PartWrite& w = part_writes_[*group];
+  const wire::PartRecord::Heard heard{m.address, m.session, m.standing};
+  auto [at, fresh] = w.pending.try_emplace(m.id, heard);
+  if (!fresh && at->second == heard && w.due <= now + within) return;
+  at->second = heard;
+  w.due = w.due == 0 ? now + within : std::min(w.due, now + within);
+}
+
+void Controller::write_parts(Ms now) {
+  if (!can_write(now)) return;
+  for (auto& [group, w] : part_writes_) {
+    if (w.busy || w.pending.empty() || now < w.due) continue;
+    // Verdicts on machines that went to another part meanwhile are not ours to write.
+    std::erase_if(w.pending, [this](const auto& p) { return !machines_.contains(p.first); });
+    const auto fleet = replica_.fleet().find(group);
+    if (w.pending.empty() || fleet == replica_.fleet().end()) {
+      w.pending.clear();
+      w.due = 0;
+      continue;
+    }
+    wire::PartRecord next;
+    if (const auto* record = replica_.part(settings_.name, group)) {
+      // What we knew of machines that are another's now stays until they are forgotten: the new
+      // owner may not have written it yet.
+      for (const auto& [id, heard] : record->machines)
+        if (fleet->second.machines.contains(id)) next.machines[id] = heard;
+    }
+    for (const auto& [id, heard] : w.pending)
+      if (fleet->second.machines.contains(id)) next.machines[id] = heard;
+    Transaction t;
+    const std::string key = wire::part_key(settings_.name, group);
+    t.guards = {view_guard(), store_.guard(key)};
+    t.writes = {{key, encode(next), std::nullopt}};
+    w.busy = true;
+    w.due = 0;
+    t.done = [this, group, sent = w.pending](Ms at, Committed result, const auto&) {
+      PartWrite& written = part_writes_[group];
+      if (result == Committed::yes) {
+        written.busy = false;
+        std::erase_if(written.pending, [&](const auto& p) {
+          auto s = sent.find(p.first);
+          return s != sent.end() && s->second == p.second;
+        });
+        if (!written.pending.empty() && written.due == 0) written.due = at + k::kHeardWithinMs;
+        return;
+      }
+      settle(at, [this, group](Ms then) {
+        PartWrite& again = part_writes_[group];
+        again.busy = false;
+        again.due = then + k::kRefusedRetryMs;
+      });
+    };
+    store_.submit(std::move(t));
+  }
+}
+
+// As the fleet's keeper: writes what is pending, new machines into groups that have room.
+void Controller::write_fleet(Ms now) {
+  if (fleet_busy_ || (fleet_pending_.empty() && hires_settled_.empty()) || !can_write(now)) return;
+  const auto most = static_cast<std::size_t>(
+      std::max(1.0, value_bytes() / static_cast<double>(k::kBytesPerMachine)));
+  std::map<std::uint32_t, wire::FleetRecord> next;
+  auto group_at = [&](std::uint32_t group) -> wire::FleetRecord& {
+    auto [it, fresh] = next.try_emplace(group);
+    if (fresh) {
+      if (auto old = replica_.fleet().find(group); old != replica_.fleet().end())
+        it->second = old->second;
+    }
+    return it->second;
+  };
+  std::uint32_t open = 0;  // groups before it are full
+  auto sent = std::make_shared<std::set<std::string>>();
+  for (const auto& [id, record] : fleet_pending_) {
+    auto group = replica_.group_of(id);
+    if (!group && !record) {
+      sent->insert(id);
+      continue;
+    }
+    if (!group) {
+      for (;; ++open) {
+        auto written = next.find(open);
+        auto old = replica_.fleet().find(open);
+        const std::size_t n = written != next.end()           ? written->second.machines.size()
+                              : old != replica_.fleet().end() ? old->second.machines.size()
+                                                              : 0;
+        if (n < most) break;
+      }
+      group = open;
+    }
+    if (!next.contains(*group) && next.size() >= k::kFleetGroupsAtOnce) continue;
+    wire::FleetRecord& g = group_at(*group);
+    if (record) {
+      g.machines[id] = *record;
+    } else {
+      g.machines.erase(id);
+    }
+    sent->insert(id);
+  }
+  Transaction t;
+  t.guards = {view_guard()};
+  for (const auto& [group, record] : next) {
+    const std::string key = wire::fleet_key(group);
+    t.guards.push_back(store_.guard(key));
+    t.writes.push_back({key, record.machines.empty() ? std::nullopt : std::optional(encode(record)),
+                        std::nullopt});
+  }
+  // A rental request is forgotten together with, or after, the writing down of all it brought.
+  auto over = std::make_shared<std::vector<std::string>>();
+  for (const auto& [name, brought] : hires_settled_) {
+    const bool all = std::all_of(brought.begin(), brought.end(), [&](const std::string& id) {
+      return sent->contains(id) || !fleet_pending_.contains(id);
+    });
+    const std::string key = std::string(wire::kHirePrefix) + name;
+    if (!all || static_cast<int>(t.writes.size()) >= settings_.txn_ops) continue;
+    over->push_back(name);
+    if (store_.version(key) == 0) continue;
+    t.guards.push_back(store_.guard(key));
+    t.writes.push_back({key, std::nullopt, std::nullopt});
+  }
+  auto settled = [this, sent, over](Ms) {
+    for (const auto& id : *sent) fleet_pending_.erase(id);
+    for (const auto& name : *over) {
+      hires_settled_.erase(name);
+      hires_busy_.erase(name);
+    }
+    fleet_busy_ = false;
+    hires_at_ = 0;
+  };
+  if (t.writes.empty()) {
+    settled(now);
+    return;
+  }
+  fleet_busy_ = true;
+  // Whatever was not written is found again: in the list, in the records, or by repeating the
+  // rental request under its name.
+  t.done = [this, settled](Ms at, Committed result, const auto&) {
+    result == Committed::yes ? settled(at) : settle(at, settled);
+  };
+  store_.submit(std::move(t));
+}
+
+}  // namespace puffinhaven::core
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -18,13 +18,22 @@
          memory_gb + kSlack >= job.memory_gb;
 }
 
-void Candidate::book(const wire::JobSpec& job, double remaining_s) {
+bool Candidate::book(const wire::JobSpec& job, Ms ends_at) {
   cpus -= job.cpus;
   gpus -= job.gpus;
   memory_gb -= job.memory_gb;
-  booked.push_back({job.cpus, job.gpus, job.memory_gb, remaining_s});
-  if (std::find(images.begin(), images.end(), job.image) == images.end())
-    images.push_back(job.image);
+  booked.push_back({job.cpus, job.gpus, job.memory_gb, ends_at});
+  const bool fresh = std::find(images.begin(), images.end(), job.image) == images.end();
+  if (fresh) images.push_back(job.image);
+  return fresh;
+}
+
+void Candidate::unbook(const wire::JobSpec& job, bool image_was_new) {
+  cpus += job.cpus;
+  gpus += job.gpus;
+  memory_gb += job.memory_gb;
+  booked.pop_back();
+  if (image_was_new) images.pop_back();
 }
 
 bool allowed(const wire::JobSpec& job, const std::string& type, const std::string& zone,
@@ -47,16 +56,18 @@
   return std::max(0.0, n);
 }
 
-double remaining(double estimate_s, double elapsed_s) {
-  return elapsed_s < estimate_s ? estimate_s - elapsed_s : constants::kOverrunAllowanceS;
+double remaining_s(Ms now, Ms ends_at) {
+  return now < ends_at ? static_cast<double>(ends_at - now) / 1000.0
+                       : constants::kOverrunAllowanceS;
 }
 
-double predict(const Candidate& machine, const wire::JobSpec& job) {
+double predict(Ms now, const Candidate& machine, const wire::JobSpec& job) {
   double wait = 0;
   if (!machine.fits(job)) {
     std::vector<Booked> ends = machine.booked;
-    std::sort(ends.begin(), ends.end(),
-              [](const Booked& a, const Booked& b) { return a.remaining_s < b.remaining_s; });
+    std::sort(ends.begin(), ends.end(), [now](const Booked& a, const Booked& b) {
+      return remaining_s(now, a.ends_at) < remaining_s(now, b.ends_at);
+    });
     Candidate later;
     later.cpus = machine.cpus;
     later.gpus = machine.gpus;
@@ -67,7 +78,7 @@
       later.gpus += b.gpus;
       later.memory_gb += b.memory_gb;
       if (later.fits(job)) {
-        wait = b.remaining_s;
+        wait = remaining_s(now, b.ends_at);
         break;
       }
     }
@@ -78,22 +89,25 @@
   return wait + fetch + job.estimate_s;
 }
 
-int choose(const std::vector<Candidate>& machines, const wire::JobSpec& job,
+int choose(Ms now, const std::vector<Candidate*>& machines, const wire::JobSpec& job,
            const std::vector<int>& eligible, pcg32& random) {
   if (eligible.empty()) return -1;
+  int best = -1;
+  double best_finish = 0;
   // Equal predictions go to the machine that the task fills more: large tasks then still find
   // whole machines.
-  auto better = [&](int a, int b) {
-    const Candidate& x = machines[static_cast<std::size_t>(a)];
-    const Candidate& y = machines[static_cast<std::size_t>(b)];
-    const double px = predict(x, job), py = predict(y, job);
-    if (std::abs(px - py) > 1e-9) return px < py;
-    return x.cpus < y.cpus;
-  };
-  int best = -1;
   auto consider = [&](int i) {
-    if (!machines[static_cast<std::size_t>(i)].fits(job)) return;
-    if (best < 0 || better(i, best)) best = i;
+    const Candidate& c = *machines[static_cast<std::size_t>(i)];
+    if (!c.fits(job)) return;
+    const double finish = predict(now, c, job);
+    if (best >= 0) {
+      const bool equal = std::abs(finish - best_finish) <= 1e-9;
+      const bool better =
+          equal ? c.cpus < machines[static_cast<std::size_t>(best)]->cpus : finish < best_finish;
+      if (!better) return;
+    }
+    best = i;
+    best_finish = finish;
   };
   std::uniform_int_distribution<std::size_t> draw(0, eligible.size() - 1);
   for (int s = 0; s < constants::kSampledMachines; ++s) consider(eligible[draw(random)]);
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -5,14 +5,15 @@
 #include <string>
 #include <vector>
 
+#include "core/types.h"
 #include "wire/messages.h"
 
 namespace puffinhaven::core {
 
-// What a booked task holds, and how long it is still expected to hold it.
+// What a booked task holds, and when it should be through by its estimate.
 struct Booked {
   double cpus = 0, gpus = 0, memory_gb = 0;
-  double remaining_s = 0;
+  Ms ends_at = 0;
 };
 
 // A machine as placement sees it: the last report plus starts since.
@@ -29,7 +30,10 @@
   std::vector<Booked> booked;
 
   bool fits(const wire::JobSpec& job) const;
-  void book(const wire::JobSpec& job, double remaining_s);
+  // True when the task's image was not counted yet.
+  bool book(const wire::JobSpec& job, Ms ends_at);
+  // Takes the last booking back.
+  void unbook(const wire::JobSpec& job, bool image_was_new);
 };
 
 bool allowed(const wire::JobSpec& job, const std::string& type, const std::string& zone, bool spot);
@@ -37,16 +41,16 @@
 // Tasks of the job that a machine with this much free can take at once.
 double fit_count(const wire::JobSpec& job, double cpus, double gpus, double memory_gb);
 
-// Remaining seconds of a task that has run for `elapsed_s`. An overrunning task counts as ending
+// Remaining seconds of a task that should end at `ends_at`. An overrunning task counts as ending
 // within the allowance.
-double remaining(double estimate_s, double elapsed_s);
+double remaining_s(Ms now, Ms ends_at);
 
 // Predicted finish, seconds from now: the wait until room frees, the image fetch, the estimate.
-double predict(const Candidate& machine, const wire::JobSpec& job);
+double predict(Ms now, const Candidate& machine, const wire::JobSpec& job);
 
 // Index of the machine that takes the task now, or -1 when it has to wait: the lower prediction of
 // two sampled machines; if neither has room, the lowest of one scan.
-int choose(const std::vector<Candidate>& machines, const wire::JobSpec& job,
+int choose(Ms now, const std::vector<Candidate*>& machines, const wire::JobSpec& job,
            const std::vector<int>& eligible, pcg32& random);
 
 }  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/ranges.cpp
@@ -0,0 +1,349 @@
+// Ranges of tasks: dividing jobs among parts, taking from other parts, recording placements and
+// ends.
+#include <algorithm>
+#include <cmath>
+
+#include "core/constants.h"
+#include "core/controller.h"
+#include "core/pass.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+// Placements that fit into the record of a range of so many tasks, as a rule.
+std::size_t Controller::placed_most(std::uint32_t tasks) const {
+  const double bytes =
+      value_bytes() - static_cast<double>(k::kRangeOverheadBytes) - static_cast<double>(tasks) / 4;
+  return static_cast<std::size_t>(std::max(1.0, bytes / k::kBytesPerPlacement));
+}
+
+std::vector<wire::RangeRecord> Controller::divide(const wire::JobSpec& spec) const {
+  auto make = [&](std::uint32_t begin, std::uint32_t end, const std::string& owner) {
+    wire::RangeRecord r;
+    r.job = spec.id;
+    r.owner = owner;
+    r.begin = begin;
+    r.end = end;
+    r.done.assign(end - begin, false);
+    return r;
+  };
+  // Free room and load of each part, in tasks of this job, from sums: what it could hold, less what
+  // its ranges have placed and waiting. Placements of a range are on its owner's machines but for
+  // gangs and zoned jobs, which are few.
+  struct Part {
+    double room = 0, capacity = 0, load = 0;
+    std::uint32_t given = 0;
+  };
+  std::map<std::string, Part> parts;
+  for (const auto& name : membership_.owners()) parts[name];
+  for (const auto& [id, record] : replica_.machines()) {
+    if (record.standing != wire::MachineStanding::ready || record.session == 0 ||
+        !allowed(spec, record.type, record.zone, record.spot))
+      continue;
+    const auto* type = replica_.type(record.type);
+    auto part = parts.find(membership_.machine_owner(id, record.zone));
+    if (!type || part == parts.end()) continue;
+    const double n = fit_count(spec, type->cpus, type->gpus, type->memory_gb);
+    part->second.room += n;
+    part->second.capacity += n;
+  }
+  for (const auto& [id, job] : replica_.jobs()) {
+    if (!job.known || job.record.cancelled) continue;
+    const double scale = spec.cpus > 0 ? job.record.spec.cpus / spec.cpus : 1.0;
+    for (const auto& [number, r] : job.ranges) {
+      const double waiting =
+          (r.end - r.begin) - r.done_count() - static_cast<double>(r.placed.size());
+      auto part = parts.find(membership_.range_owner(wire::range_key(id, number), r.owner));
+      if (part == parts.end()) continue;
+      part->second.room -= static_cast<double>(r.placed.size()) * scale;
+      if (job.record.spec.priority >= spec.priority) part->second.room -= waiting * scale;
+      part->second.load += waiting * scale;
+    }
+  }
+  const bool whole = spec.gang || spec.one_zone || spec.spread;
+  std::string first = rendezvous(wire::job_key(spec.id), membership_.owners());
+  // Step by step to the part with most room left, then to the one least loaded for its size. A step
+  // is several tasks: each part that takes some has records to write for as long as they run.
+  const std::uint32_t step =
+      whole ? spec.tasks : std::max(k::kTasksPerStep, spec.tasks / k::kStepsPerJob);
+  for (std::uint32_t given = 0; given < spec.tasks;) {
+    const std::uint32_t n = std::min(step, spec.tasks - given);
+    Part* best = nullptr;
+    std::string best_name;
+    for (auto& [name, p] : parts) {
+      if (p.capacity <= 0) continue;
+      bool better = !best;
+      if (best) {
+        const bool has = p.room >= 1, best_has = best->room >= 1;
+        if (has != best_has) {
+          better = has;
+        } else if (has) {
+          better = p.room > best->room || (p.room == best->room && name == first);
+        } else {
+          better = (p.load + 1) / p.capacity < (best->load + 1) / best->capacity;
+        }
+      }
+      if (better) {
+        best = &p;
+        best_name = name;
+      }
+    }
+    if (!best) {
+      best = &parts[first];
+      best_name = first;
+    }
+    best->given += n;
+    best->room -= n;
+    best->load += n;
+    given += n;
+  }
+  std::vector<wire::RangeRecord> out;
+  std::uint32_t begin = 0;
+  for (const auto& [name, p] : parts) {
+    for (std::uint32_t left = p.given; left > 0;) {
+      const std::uint32_t n = std::min(left, k::kTasksPerRange);
+      out.push_back(make(begin, begin + n, name));
+      out.back().number = static_cast<std::uint32_t>(out.size());
+      begin += n;
+      left -= n;
+    }
+  }
+  return out;
+}
+
+// Idle room takes unstarted tasks from the end of other parts' ranges.
+void Controller::take_ranges(Ms now, Pass& pass) {
+  if (pass.left <= 0) return;
+  const Job* best_job = nullptr;
+  RangeId best;
+  std::uint32_t best_first = 0;
+  for (const auto& [id, job] : replica_.jobs()) {
+    const auto& spec = job.record.spec;
+    if (!job.known || job.record.cancelled || spec.gang || spec.one_zone || spec.spread ||
+        job.done_tasks() + job.placed_tasks() >= spec.tasks || !job.whole() ||
+        job.ranges.size() >= k::kRangesPerJob || health_.not_before(id) > now)
+      continue;
+    if (best_job && spec.priority <= best_job->record.spec.priority) continue;
+    double room = -1;
+    for (const auto& [number, r] : job.ranges) {
+      if (r.placed.size() + r.done_count() >= r.end - r.begin) continue;
+      const RangeId range{id, number};
+      if (membership_.range_owner(wire::range_key(id, number), r.owner) == settings_.name) continue;
+      RangeWork& w = work_[range];
+      if (w.first_seen == 0) w.first_seen = now;
+      if (w.busy || !w.freed.empty() || now < w.retry_at) continue;
+      if (now - w.first_seen < k::kTakeOverAfterMs) {
+        dirty_ = true;
+        continue;
+      }
+      if (room < 0) room = room_for(pass, spec);
+      if (room < 1) break;
+      std::uint32_t first = r.end, open = 0;
+      while (first > r.begin && !r.placed.contains(first - 1) && open < room) {
+        --first;
+        if (!r.done[first - r.begin]) ++open;
+      }
+      if (open == 0) continue;
+      if (!grant_allows(pass, spec)) {
+        // Guards against work that only our machines may run staying with a part that holds the
+        // grants but has no such machines.
+        auto& need = quota_need_[spec.team];
+        need.cpus += spec.cpus * open;
+        need.gpus += spec.gpus * open;
+        break;
+      }
+      best_job = &job;
+      best = range;
+      best_first = first;
+      break;
+    }
+  }
+  if (!best_job) return;
+  std::uint32_t number = random_();
+  while (number == 0 || best_job->ranges.contains(number)) number = random_();
+  write_taken(best, best_first, {best.job, number});
+}
+
+// Tasks of the job that our part has room for; counted once a pass for each shape.
+double Controller::room_for(Pass& pass, const wire::JobSpec& spec) const {
+  auto [at, fresh] = pass.room.try_emplace(
+      {spec.cpus, spec.gpus, spec.memory_gb, spec.spot, spec.types, spec.zone}, 0.0);
+  if (!fresh) return at->second;
+  for (const auto* c : pass.pool) {
+    if (c->own && c->cpus > 0 && allowed(spec, c->type, c->zone, c->spot))
+      at->second += fit_count(spec, c->cpus, c->gpus, c->memory_gb);
+  }
+  return at->second;
+}
+
+void Controller::write_taken(const RangeId& from, std::uint32_t first, const RangeId& to) {
+  const auto* range = replica_.range(from);
+  if (!range) return;
+  wire::RangeRecord left = *range;
+  const std::string from_key = wire::range_key(from.job, from.number);
+  const std::string to_key = wire::range_key(to.job, to.number);
+  Transaction t;
+  t.guards = {view_guard(), store_.guard(wire::job_key(from.job)), store_.guard(from_key)};
+  if (first == left.begin) {
+    left.owner = settings_.name;
+  } else {
+    wire::RangeRecord right;
+    right.owner = settings_.name;
+    right.begin = first;
+    right.end = left.end;
+    right.done.assign(left.done.begin() + (first - left.begin), left.done.end());
+    right.next_attempt = left.next_attempt;
+    left.end = first;
+    left.done.resize(first - left.begin);
+    t.guards.push_back({to_key, 0});
+    t.writes.push_back({to_key, encode(right), std::nullopt});
+  }
+  t.writes.push_back({from_key, encode(left), std::nullopt});
+  work_[from].busy = true;
+  t.done = [this, from](Ms at, Committed result, const auto&) {
+    auto release = [this, from](Ms) {
+      work_[from].busy = false;
+      dirty_ = true;
+    };
+    if (result == Committed::yes) {
+      release(at);
+    } else {
+      settle(at, release);
+    }
+  };
+  store_.submit(std::move(t));
+}
+
+// Whether the range's changes are to be written now. That tasks are done can wait a little, to be
+// written together: their room is free already, and their machines list them until it is recorded.
+bool Controller::pressing(Ms now, const RangeId& id, RangeWork& w) const {
+  if (!w.placing.empty() || w.want_stop || w.uncertain) return true;
+  if (w.freed.empty()) {
+    w.freed_since = 0;
+    return false;
+  }
+  if (w.freed_since == 0) w.freed_since = now;
+  const auto* range = replica_.range(id);
+  const Job* job = replica_.job(id.job);
+  if (!range || !job || job->record.cancelled || job->record.spec.gang) return true;
+  if (std::any_of(w.freed.begin(), w.freed.end(), [](const auto& f) { return !f.second.done; }))
+    return true;
+  if (range->done_count() + w.freed.size() >= range->end - range->begin) return true;
+  const Ms waited = now - w.freed_since;
+  return waited >= k::kDoneWithinMs || (waited >= k::kDoneGatherMs && store_.spare(now));
+}
+
+void Controller::write_range(const RangeId& id) {
+  RangeWork& w = work_[id];
+  const auto* range = replica_.range(id);
+  const Job* job = replica_.job(id.job);
+  if (w.busy) return;
+  if (!range || !job) {
+    clear_placing(w);
+    w.freed.clear();
+    w.want_stop = false;
+    return;
+  }
+  const auto& spec = job->record.spec;
+  wire::RangeRecord next = *range;
+  bool changed = false;
+  for (auto it = w.freed.begin(); it != w.freed.end();) {
+    auto p = next.placed.find(it->first);
+    if (p == next.placed.end() || p->second.attempt != it->second.attempt) {
+      it = w.freed.erase(it);  // recorded already
+      continue;
+    }
+    next.placed.erase(p);
+    if (it->second.done) {
+      if (spec.gang) {  // if one task of a gang is done, every one is
+        next.done.assign(next.done.size(), true);
+      } else {
+        next.done[it->first - next.begin] = true;
+      }
+    } else {
+      w.cursor = std::min(w.cursor, it->first);
+    }
+    changed = true;
+    ++it;
+  }
+  if (w.want_stop && spec.gang && !next.placed.empty() && next.done_count() == 0 &&
+      !next.stopping) {
+    next.stopping = true;
+    changed = true;
+  }
+  w.want_stop = false;
+  if (next.placed.empty() && next.stopping) next.stopping = false;
+  Transaction t;
+  const std::string key = wire::range_key(id.job, id.number);
+  t.guards = {view_guard(), store_.guard(key)};
+  std::set<std::string> machines;
+  if (w.uncertain) changed = true;  // the same again, with a new stamp
+  if (!w.placing.empty() && !w.uncertain) {
+    // A cancellation or a change of a machine's standing in between voids the placement.
+    t.guards.push_back(store_.guard(wire::job_key(id.job)));
+    next.owner = settings_.name;
+    // Guards against a value over the service's limit, which would be refused for ever: names may
+    // be longer than the rule of placed_most() counts with.
+    while (!spec.gang && w.placing.size() > 1) {
+      wire::RangeRecord full = next;
+      for (const auto& [task, p] : w.placing) full.placed[task] = p;
+      if (static_cast<double>(encode(full).size()) <= value_bytes()) break;
+      drop_placing(w, w.placing.size() / 2);
+    }
+    for (const auto& [task, p] : w.placing) {
+      next.placed[task] = p;
+      next.next_attempt = std::max(next.next_attempt, p.attempt + 1);
+      machines.insert(p.machine);
+    }
+    // One stamp stands for all machines of a part: whoever places on another part's machines
+    // changes its claim, and so makes placements of its controller that do not know of these fail.
+    // A condition for each machine would not fit into a transaction for an array spread over
+    // hundreds.
+    std::set<std::string> owners;
+    for (const auto& m : machines) {
+      const auto* record = replica_.machine(m);
+      owners.insert(record ? membership_.machine_owner(m, record->zone) : settings_.name);
+    }
+    for (const auto& owner : owners) {
+      const std::string claim = wire::claim_key(owner);
+      t.guards.push_back(store_.guard(claim));
+      if (owner != settings_.name)
+        t.writes.push_back({claim, wire::claim_body(settings_.name), std::nullopt});
+    }
+    changed = true;
+  }
+  if (!changed) return;
+  w.freed_since = 0;
+  t.writes.push_back({key, encode(next), std::nullopt});
+  t.urgent = spec.priority >= wire::Priority::high;
+  w.busy = true;
+  t.done = [this, id, machines](Ms at, Committed result, const auto&) {
+    auto it = work_.find(id);
+    if (it == work_.end()) return;
+    dirty_ = true;
+    if (result == Committed::unknown) {
+      // Guards against a late write that fills a grant or a machine a second time.
+      it->second.uncertain = true;
+    } else if (result != Committed::refused || !it->second.uncertain) {
+      clear_placing(it->second);
+    }
+    if (result == Committed::yes) {
+      it->second.busy = false;
+      return;  // starts follow from the changed machines
+    }
+    if (result == Committed::refused) {
+      it->second.busy = false;
+      it->second.retry_at = at + k::kRefusedRetryMs;
+      return;
+    }
+    settle(at, [this, id](Ms) {
+      auto again = work_.find(id);
+      if (again != work_.end()) again->second.busy = false;
+      dirty_ = true;
+    });
+  };
+  store_.submit(std::move(t));
+}
+
+}  // namespace puffinhaven::core
--- a/src/core/replica.cpp
+++ b/src/core/replica.cpp
@@ -1,21 +1,11 @@
 #include "core/replica.h"
 
+#include <algorithm>
+
 #include "core/constants.h"
 
 namespace puffinhaven::core {
 
-std::uint64_t Job::done_tasks() const {
-  std::uint64_t n = 0;
-  for (const auto& [number, r] : ranges) n += r.done_count();
-  return n;
-}
-
-std::uint64_t Job::placed_tasks() const {
-  std::uint64_t n = 0;
-  for (const auto& [number, r] : ranges) n += r.placed.size();
-  return n;
-}
-
 bool Job::whole() const {
   if (!known) return false;
   std::uint64_t n = 0;
@@ -53,17 +43,18 @@
     if (item.value && !decode(*item.value, record)) return false;
     changed_jobs_.insert(id.job);
     Job& job = jobs_[id.job];
-    if (auto old = job.ranges.find(id.number); old != job.ranges.end()) {
-      unindex(id, old->second);
-      job.ranges.erase(old);
-    }
+    auto old = job.ranges.find(id.number);
     if (item.value) {
       record.job = id.job;
       record.number = id.number;
-      auto& kept = job.ranges[id.number] = std::move(record);
-      index(id, kept);
-    } else if (job.ranges.empty() && !job.known) {
-      jobs_.erase(id.job);
+      apply_range(id, job, old == job.ranges.end() ? nullptr : &old->second, &record);
+      job.ranges[id.number] = std::move(record);
+    } else {
+      if (old != job.ranges.end()) {
+        apply_range(id, job, &old->second, nullptr);
+        job.ranges.erase(old);
+      }
+      if (job.ranges.empty() && !job.known) jobs_.erase(id.job);
     }
     return true;
   }
@@ -73,6 +64,7 @@
     if (!item.value) {
       auto it = jobs_.find(id);
       if (it == jobs_.end()) return true;
+      if (it->second.known) count_job(it->second, -1);
       it->second.known = false;
       if (it->second.ranges.empty()) jobs_.erase(it);
       return true;
@@ -81,8 +73,10 @@
     if (!decode(*item.value, record)) return false;
     Job& job = jobs_[id];
     const bool cancelled_now = record.cancelled && !job.record.cancelled;
+    if (job.known) count_job(job, -1);
     job.record = std::move(record);
     job.known = true;
+    count_job(job, 1);
     if (cancelled_now) {
       for (const auto& [number, r] : job.ranges)
         for (const auto& [task, p] : r.placed) changed_machines_.insert(p.machine);
@@ -95,11 +89,16 @@
     remember_over(rest(key, wire::kOverPrefix), record);
     return true;
   }
-  if (key.starts_with(wire::kMachinePrefix)) {
-    const std::string id = rest(key, wire::kMachinePrefix);
-    changed_machines_.insert(id);
-    return store(machines_, id, item.value);
+  if (key.starts_with(wire::kFleetPrefix)) {
+    std::uint32_t group = 0;
+    return wire::parse_fleet_key(key, group) && apply_fleet(group, item.value);
   }
+  if (key.starts_with(wire::kPartPrefix)) {
+    std::string who;
+    std::uint32_t group = 0;
+    return wire::parse_part_key(key, who, group) && apply_part(who, group, item.value);
+  }
+  if (key.starts_with(wire::kClaimPrefix)) return true;  // only its stamp matters
   if (key.starts_with(wire::kLivePrefix)) {
     view_changed_ = true;
     return store(live_, rest(key, wire::kLivePrefix), item.value);
@@ -125,23 +124,128 @@
   return false;
 }
 
-void Replica::unindex(const RangeId& id, const wire::RangeRecord& range) {
-  for (const auto& [task, p] : range.placed) {
-    auto it = placed_on_.find(p.machine);
-    if (it == placed_on_.end()) continue;
-    it->second.erase({id, task});
-    if (it->second.empty()) placed_on_.erase(it);
-    changed_machines_.insert(p.machine);
-  }
+void Replica::count_usage(const Job& job, const wire::Placement& p, double sign) {
+  Usage& u = usage_[job.record.spec.team][p.grant];
+  u.cpus += sign * job.record.spec.cpus;
+  u.gpus += sign * job.record.spec.gpus;
+}
+
+void Replica::count_job(const Job& job, double sign) {
+  for (const auto& [number, r] : job.ranges)
+    for (const auto& [task, p] : r.placed) count_usage(job, p, sign);
 }
 
-void Replica::index(const RangeId& id, const wire::RangeRecord& range) {
-  for (const auto& [task, p] : range.placed) {
+void Replica::place(const RangeId& id, const Job& job, std::uint32_t task, const wire::Placement& p,
+                    bool add) {
+  if (job.known) count_usage(job, p, add ? 1 : -1);
+  changed_machines_.insert(p.machine);
+  if (add) {
     placed_on_[p.machine].insert({id, task});
-    changed_machines_.insert(p.machine);
+    return;
+  }
+  auto it = placed_on_.find(p.machine);
+  if (it == placed_on_.end()) return;
+  it->second.erase({id, task});
+  if (it->second.empty()) placed_on_.erase(it);
+}
+
+void Replica::apply_range(const RangeId& id, Job& job, const wire::RangeRecord* before,
+                          const wire::RangeRecord* after) {
+  if (before) {
+    job.done -= before->done_count();
+    job.placed -= before->placed.size();
+  }
+  if (after) {
+    job.done += after->done_count();
+    job.placed += after->placed.size();
+  }
+  if (before) {
+    for (const auto& [task, p] : before->placed) {
+      auto now = after ? after->placed.find(task) : before->placed.end();
+      if (!after || now == after->placed.end() || now->second != p) place(id, job, task, p, false);
+    }
+  }
+  if (after) {
+    for (const auto& [task, p] : after->placed) {
+      auto was = before ? before->placed.find(task) : after->placed.end();
+      if (!before || was == before->placed.end() || was->second != p) place(id, job, task, p, true);
+    }
+  }
+  // What becomes of one task of a gang concerns all.
+  if (before && after && job.known && job.record.spec.gang) {
+    for (const auto& [task, p] : after->placed) changed_machines_.insert(p.machine);
   }
 }
 
+void Replica::merge(const std::string& id) {
+  auto group = group_of_.find(id);
+  if (group == group_of_.end()) {
+    if (machines_.erase(id)) changed_machines_.insert(id);
+    return;
+  }
+  wire::MachineRecord sum = fleet_.at(group->second).machines.at(id);
+  if (auto heard = heard_.find(id); heard != heard_.end()) {
+    for (const auto& [who, h] : heard->second) {
+      if (!h.address.empty() && (sum.address.empty() || h.session >= sum.session))
+        sum.address = h.address;
+      sum.session = std::max(sum.session, h.session);
+      // A verdict is never taken back: sick, draining, lost, gone in this order.
+      sum.standing = std::max(sum.standing, h.standing);
+    }
+  }
+  auto [it, added] = machines_.try_emplace(id, sum);
+  if (!added && it->second == sum) return;
+  it->second = std::move(sum);
+  changed_machines_.insert(id);
+}
+
+bool Replica::apply_fleet(std::uint32_t group, const std::optional<std::string>& value) {
+  wire::FleetRecord record;
+  if (value && !decode(*value, record)) return false;
+  const wire::FleetRecord before = std::exchange(fleet_[group], record);
+  for (const auto& [id, m] : record.machines) group_of_[id] = group;
+  for (const auto& [id, m] : before.machines) {
+    if (record.machines.contains(id)) continue;
+    auto at = group_of_.find(id);
+    if (at != group_of_.end() && at->second == group) group_of_.erase(at);
+    merge(id);
+  }
+  for (const auto& [id, m] : record.machines) merge(id);
+  if (!value) fleet_.erase(group);
+  return true;
+}
+
+bool Replica::apply_part(const std::string& who, std::uint32_t group,
+                         const std::optional<std::string>& value) {
+  wire::PartRecord record;
+  if (value && !decode(*value, record)) return false;
+  const wire::PartRecord before = std::exchange(parts_[{who, group}], record);
+  for (const auto& [id, h] : before.machines) {
+    if (record.machines.contains(id)) continue;
+    auto at = heard_.find(id);
+    if (at == heard_.end()) continue;
+    at->second.erase(who);
+    if (at->second.empty()) heard_.erase(at);
+    merge(id);
+  }
+  for (const auto& [id, h] : record.machines) {
+    heard_[id][who] = h;
+    merge(id);
+  }
+  if (!value) parts_.erase({who, group});
+  return true;
+}
+
+std::optional<std::uint32_t> Replica::group_of(const std::string& id) const {
+  auto it = group_of_.find(id);
+  return it == group_of_.end() ? std::nullopt : std::optional(it->second);
+}
+
+const wire::PartRecord* Replica::part(const std::string& controller, std::uint32_t group) const {
+  auto it = parts_.find({controller, group});
+  return it == parts_.end() ? nullptr : &it->second;
+}
+
 const Job* Replica::job(const std::string& id) const {
   auto it = jobs_.find(id);
   return it == jobs_.end() || !it->second.known ? nullptr : &it->second;
@@ -192,21 +296,29 @@
   return it == r->placed.end() ? nullptr : &it->second;
 }
 
+std::vector<std::string> Replica::unrecorded() const {
+  std::vector<std::string> out;
+  for (const auto& [id, tasks] : placed_on_)
+    if (!machines_.contains(id)) out.push_back(id);
+  return out;
+}
+
 Usage Replica::usage(const std::string& team, const std::string& grant) const {
-  Usage u;
-  for (const auto& [id, job] : jobs_) {
-    if (!job.known || job.record.spec.team != team) continue;
-    for (const auto& [number, r] : job.ranges) {
-      for (const auto& [task, p] : r.placed) {
-        if (!grant.empty() && p.grant != grant) continue;
-        u.cpus += job.record.spec.cpus;
-        u.gpus += job.record.spec.gpus;
-      }
-    }
-  }
-  return u;
+  auto t = usage_.find(team);
+  if (t == usage_.end()) return {};
+  auto g = t->second.find(grant);
+  return g == t->second.end() ? Usage{} : g->second;
 }
 
-Usage Replica::usage(const std::string& team) const { return usage(team, ""); }
+Usage Replica::usage(const std::string& team) const {
+  Usage sum;
+  auto t = usage_.find(team);
+  if (t == usage_.end()) return sum;
+  for (const auto& [grant, u] : t->second) {
+    sum.cpus += u.cpus;
+    sum.gpus += u.gpus;
+  }
+  return sum;
+}
 
 }  // namespace puffinhaven::core
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -35,9 +35,11 @@
   std::map<std::uint32_t, wire::RangeRecord> ranges;
   // Known once the record itself was read; ranges may come first.
   bool known = false;
+  // Sums over the ranges, kept up to date.
+  std::uint64_t done = 0, placed = 0;
 
-  std::uint64_t done_tasks() const;
-  std::uint64_t placed_tasks() const;
+  std::uint64_t done_tasks() const { return done; }
+  std::uint64_t placed_tasks() const { return placed; }
   // Every task belongs to a range held here, so nothing about the job is missing.
   bool whole() const;
 };
@@ -59,11 +61,17 @@
   const Job* job(const std::string& id) const;
   const wire::RangeRecord* range(const RangeId& id) const;
   const wire::MachineRecord* machine(const std::string& id) const;
+  const std::map<std::uint32_t, wire::FleetRecord>& fleet() const { return fleet_; }
+  // The group that a machine is recorded in; none if the machine is not recorded.
+  std::optional<std::uint32_t> group_of(const std::string& id) const;
+  const wire::PartRecord* part(const std::string& controller, std::uint32_t group) const;
   const wire::MachineType* type(const std::string& name) const;
   const wire::OverRecord* over(const std::string& id) const;
   void remember_over(const std::string& id, const wire::OverRecord& record);
 
   const std::set<TaskRef>& placed_on(const std::string& machine) const;
+  // Machines with placements of which there is no record.
+  std::vector<std::string> unrecorded() const;
   const wire::Placement* placement(const TaskRef& task) const;
   // Tasks of a team recorded as placed, by the grant that they use.
   Usage usage(const std::string& team, const std::string& grant) const;
@@ -74,12 +82,28 @@
   std::set<std::string> take_changed_jobs() { return std::exchange(changed_jobs_, {}); }
 
  private:
-  void unindex(const RangeId& id, const wire::RangeRecord& range);
-  void index(const RangeId& id, const wire::RangeRecord& range);
+  // Takes over the difference between two versions of a range; either may be missing. The cost of
+  // a change is that of what changed, not of all that the range holds.
+  void apply_range(const RangeId& id, Job& job, const wire::RangeRecord* before,
+                   const wire::RangeRecord* after);
+  void place(const RangeId& id, const Job& job, std::uint32_t task, const wire::Placement& p,
+             bool add);
+  void count_usage(const Job& job, const wire::Placement& p, double sign);
+  void count_job(const Job& job, double sign);
+  bool apply_fleet(std::uint32_t group, const std::optional<std::string>& value);
+  bool apply_part(const std::string& who, std::uint32_t group,
+                  const std::optional<std::string>& value);
+  void merge(const std::string& id);
 
   wire::ViewRecord view_;
   std::map<std::string, wire::LiveRecord> live_;
-  std::map<std::string, wire::MachineRecord> machines_;
+  std::map<std::uint32_t, wire::FleetRecord> fleet_;
+  std::map<std::pair<std::string, std::uint32_t>, wire::PartRecord> parts_;
+  std::unordered_map<std::string, std::uint32_t> group_of_;
+  // What controllers have written of a machine, by controller.
+  std::unordered_map<std::string, std::map<std::string, wire::PartRecord::Heard>> heard_;
+  std::map<std::string, wire::MachineRecord> machines_;        // merged from all these
+  std::map<std::string, std::map<std::string, Usage>> usage_;  // team -> grant
   std::map<std::string, wire::RentRequest> hires_;
   std::map<std::string, wire::QuotaRecord> quotas_;
   std::vector<wire::MachineType> catalog_;
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -12,9 +12,10 @@
 
 namespace {
 // Read at the start, in this order; final states stay out of recovery's way.
-const std::string_view kLoaded[] = {wire::kViewKey,       wire::kCatalogKey,   wire::kLivePrefix,
-                                    wire::kMachinePrefix, wire::kJobPrefixKey, wire::kRangePrefix,
-                                    wire::kHirePrefix,    wire::kQuotaPrefix};
+const std::string_view kLoaded[] = {wire::kViewKey,     wire::kCatalogKey, wire::kLivePrefix,
+                                    wire::kFleetPrefix, wire::kPartPrefix, wire::kJobPrefixKey,
+                                    wire::kRangePrefix, wire::kHirePrefix, wire::kQuotaPrefix,
+                                    wire::kClaimPrefix};
 // Never written: asking for it tells the current revision.
 constexpr std::string_view kBarrierKey = "barrier";
 }  // namespace
@@ -43,6 +44,10 @@
          now - last_answer_ < k::kStateSilentMs;
 }
 
+bool Store::silent(Ms now) const {
+  return now - std::max(last_answer_, last_refusal_) >= k::kStateSilentMs;
+}
+
 void Store::call(std::string method, std::string path, std::string body, OutcomeHandler done) {
   send_(Target::state, "", std::move(method), std::move(path), std::move(body), k::kStateTimeoutMs,
         [this, done = std::move(done)](Ms now, const Outcome& outcome) {
@@ -54,6 +59,7 @@
 void Store::note(Ms now, const Outcome& outcome) {
   if (outcome.status == 0 || outcome.status == 503) {
     last_failure_ = now;
+    if (outcome.status == 503) last_refusal_ = now;
   } else if (outcome.status == 429) {
     paused_until_ = std::max(paused_until_, now + k::kThrottledPauseMs);
   } else {
@@ -295,6 +301,12 @@
   }
 }
 
+bool Store::spare(Ms now) const {
+  const double rate = share(settings_.state_write_rps);
+  const double tokens = write_tokens_ + rate * static_cast<double>(now - write_refilled_) / 1000.0;
+  return queue_.empty() && in_flight_ < k::kTransactionsInFlight && tokens >= rate * k::kSpareShare;
+}
+
 void Store::flush(Ms now) {
   if (queue_.empty()) return;
   // Refuse at once what cannot be sent; whoever asked decides whether to come back.
@@ -317,45 +329,60 @@
   write_refilled_ = now;
   const double request_rate = share(settings_.state_rps) * k::kRateShare *
                               (1.0 - k::kWatchRateShare - k::kBarrierRateShare);
+  std::vector<Transaction> oversize;
+  const auto most = static_cast<std::size_t>(std::max(1, settings_.txn_ops));
   while (!queue_.empty() && in_flight_ < k::kTransactionsInFlight && now >= next_transaction_) {
     std::vector<Transaction> group;
-    std::set<std::string> written;
-    std::size_t writes = 0, guards = 0, bytes = 0;
-    const auto most = static_cast<std::size_t>(std::max(1, settings_.txn_ops));
+    std::set<std::string> written, guarded;
+    std::size_t writes = 0, bytes = 0;
     for (std::size_t i = 0; i < queue_.size();) {
       Transaction& t = queue_[i];
-      std::size_t size = 0;
+      std::size_t size = 0, guards = 0;
       bool clash = false;
       for (const auto& g : t.guards) {
-        size += g.key.size() + 40;
         clash = clash || written.contains(g.key);
+        // Conditions that several share, the view above all, are sent once.
+        if (guarded.contains(g.key)) continue;
+        ++guards;
+        size += g.key.size() + 40;
       }
       for (const auto& x : t.writes) {
         size += x.key.size() + 60 + (x.value ? x.value->size() : 0);
         clash = clash || written.contains(x.key);
       }
-      const bool fits = writes + t.writes.size() <= most &&
-                        guards + t.guards.size() <= most * k::kGuardsPerWrite &&
-                        bytes + size <= k::kTransactionBytes &&
-                        (write_tokens_ >= static_cast<double>(writes + t.writes.size()) ||
-                         (group.empty() && write_tokens_ >= rate - 1));
-      if (!fits) break;
+      const bool allowed = writes + t.writes.size() <= most &&
+                           guarded.size() + guards <= most * k::kGuardsPerWrite &&
+                           bytes + size <= k::kTransactionBytes;
+      if (!allowed && group.empty()) {
+        // Guards against one that can never be sent holding up all behind it.
+        log_(LogLevel::error,
+             "a transaction over the service's limits: " + std::to_string(t.writes.size()) +
+                 " writes, " + std::to_string(guards) + " conditions, " + std::to_string(size) +
+                 " bytes");
+        oversize.push_back(std::move(t));
+        queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
+        continue;
+      }
+      const bool paid = write_tokens_ >= static_cast<double>(writes + t.writes.size()) ||
+                        (group.empty() && write_tokens_ >= rate - 1);
+      if (!allowed || !paid) break;
       if (clash) {
         ++i;
         continue;
       }
       for (const auto& x : t.writes) written.insert(x.key);
+      for (const auto& g : t.guards) guarded.insert(g.key);
       writes += t.writes.size();
-      guards += t.guards.size();
       bytes += size;
       group.push_back(std::move(t));
       queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
     }
-    if (group.empty()) return;
+    if (group.empty()) break;
     write_tokens_ -= static_cast<double>(writes);
     next_transaction_ = now + static_cast<Ms>(1000.0 / std::max(request_rate, 0.1));
     send_group(now, std::move(group));
   }
+  for (auto& t : oversize) t.done(now, Committed::refused, {});
 }
 
 void Store::send_group(Ms now, std::vector<Transaction> group) {
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -45,6 +45,8 @@
   bool loaded() const { return loaded_; }
   // True while the service answers.
   bool answering(Ms now) const;
+  // Nothing at all comes from the service, not even a refusal.
+  bool silent(Ms now) const;
   Ms last_answer() const { return last_answer_; }
   bool hold_valid() const { return permit_ != 0; }
   std::uint64_t permit() const { return permit_; }
@@ -56,6 +58,8 @@
   void barrier(Ms now, Ms give_up, std::function<void(Ms now, bool ok)> done);
   void read(const std::string& key, OutcomeHandler done);
   std::size_t queued() const { return queue_.size(); }
+  // Nothing waits and enough of the write rate is left: what can wait may be written now.
+  bool spare(Ms now) const;
   // Live controllers share the rates.
   void set_sharers(int controllers) { sharers_ = controllers < 1 ? 1 : controllers; }
 
@@ -126,6 +130,7 @@
 
   Ms last_answer_ = 0;   // any real answer
   Ms last_failure_ = 0;  // 503 or none
+  Ms last_refusal_ = 0;  // 503
 };
 
 }  // namespace puffinhaven::core
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -11,16 +11,14 @@
 
 namespace {
 Ms ms(double seconds) { return static_cast<Ms>(seconds * 1000.0); }
-constexpr Ms kLookEveryMs = 100;  // between looks at silent machines; a tenth of a report interval
 }  // namespace
 
 Ms Controller::silent_after() const { return ms(settings_.report_s * k::kSilentIntervals); }
 
 bool Controller::usable(Ms now, const Machine& m) const {
-  const auto* record = replica_.machine(m.id);
-  return record && record->standing == wire::MachineStanding::ready &&
-         record->session == m.session && m.sequence > 0 && m.touched && !m.notice &&
-         now - m.heard_at < silent_after() && now >= m.no_room_until;
+  return m.recorded && m.standing == wire::MachineStanding::ready && m.sequence > 0 && m.touched &&
+         m.unreached_since == 0 && !m.notice && now - m.heard_at < silent_after() &&
+         now >= m.no_room_until;
 }
 
 // ---- reports ----
@@ -59,24 +57,68 @@
     decline(request, k::kRetryAfterS);  // a late copy
     return;
   }
-  auto [it, added] = machines_.try_emplace(report.machine);
+  auto it = machines_.find(report.machine);
+  if (it == machines_.end()) it = own(now, report.machine);
   Machine& m = it->second;
-  if (added) {
-    m.id = report.machine;
-    m.owner_since = membership_.epoch();
+  // A report may be overtaken by the answer to a direct message; it is genuine all the same.
+  const bool fresh = Counters(report.session, report.sequence) > m.last_report;
+  if (fresh) m.last_report = {report.session, report.sequence};
+  if (!take_report(now, m, report) && !(fresh && report.session == m.session)) {
+    // Guards against late copies: they renew nothing and get no commands. A machine that came back
+    // with low counters looks the same; its answer to a message of our own tells (on_orders).
+    m.doubted = true;
+    kick(now, m);
+    decline(request, k::kRetryAfterS);
+    return;
   }
-  take_report(now, m, report);
   const auto list = commands(now, m);
   const std::uint64_t given = token(m);
   m.lease_from = std::max(m.lease_from, now);
   answer(request, 200, wire::report_answer(given, list));
 }
 
-void Controller::take_report(Ms now, Machine& m, const wire::MachineReport& report) {
-  if (std::pair(report.session, report.sequence) <= std::pair(m.session, m.sequence) &&
-      m.sequence > 0)
-    return;  // late: says nothing new
-  if (report.session < m.session) return;
+// Something that we sent did not reach the machine: everything sent from now on outruns it, and the
+// new token is what the machine must show before it gets new work.
+void Controller::out_of_reach(Ms now, Machine& m) {
+  ++m.fence;
+  m.reach_token = token(m);
+  if (m.unreached_since == 0) m.unreached_since = now;
+}
+
+// The machine's answer to our own message carries counters that it had already passed when we sent
+// it: it has restarted, and what it ran is gone. Starts still on their way are outrun by a new
+// token; what it does not list is freed once it has shown that one (reconcile).
+void Controller::restarted(Ms now, Machine& m, const wire::MachineReport& report) {
+  log(LogLevel::info, "machine " + m.id + " has restarted");
+  m.tasks.clear();
+  m.images.clear();
+  m.halts.clear();
+  m.unseen_starts.clear();
+  m.session = report.session;
+  m.sequence = 0;
+  m.last_report = {};
+  m.token_seen = 0;
+  m.touched = false;
+  m.lease_from = std::max(m.lease_from, now);
+  m.start_token = token(m);
+  out_of_reach(now, m);
+  for (const TaskRef& ref : replica_.placed_on(m.id)) {
+    const auto* p = replica_.placement(ref);
+    const wire::TaskId task{ref.range.job, ref.index};
+    const bool listed = std::any_of(report.tasks.begin(), report.tasks.end(), [&](const auto& t) {
+      return t.task == task && p && t.attempt == p->attempt;
+    });
+    if (!p || listed) continue;
+    m.halts[task] = {p->attempt, 0.0};
+    m.unseen_starts[task] = m.start_token;
+  }
+}
+
+bool Controller::take_report(Ms now, Machine& m, const wire::MachineReport& report) {
+  if (m.sequence > 0 &&
+      Counters(report.session, report.sequence) <= Counters(m.session, m.sequence))
+    return false;  // late: says nothing new
+  if (report.session < m.session) return false;
   if (report.session > m.session) {
     m.tasks.clear();
     m.halts.clear();
@@ -85,8 +127,13 @@
     // Guards against counting the former session's lease on: heard by a direct command alone, a new
     // session was taken for run out, and what had just started in it was started elsewhere.
     m.lease_from = std::max(m.lease_from, now);
+    // Its lease has run out although it reports: perhaps no answer reaches it. Guards against a
+    // machine that draws and loses task after task.
+    if (m.sequence > 0) out_of_reach(now, m);
   }
   const bool new_address = m.address != report.address;
+  m.doubted = false;
+  m.candidate_known = false;
   m.session = report.session;
   m.sequence = report.sequence;
   m.address = report.address;
@@ -94,9 +141,12 @@
   m.zone = report.zone;
   m.spot = report.spot;
   m.heard_at = now;
-  m.orders_failed = 0;
   m.token_seen = std::max(m.token_seen, report.token);
   if (report.token >= Membership::token(m.owner_since, 0)) m.touched = true;
+  if (m.unreached_since != 0 && report.token >= m.reach_token) {
+    m.unreached_since = 0;
+    m.orders_failed = 0;
+  }
   m.notice = report.notice_s.has_value();
   if (m.notice) m.notice_ends = now + ms(*report.notice_s);
   std::map<wire::TaskId, Seen> tasks;
@@ -127,40 +177,13 @@
     if (!fresh && at->second.state == wire::TaskState::exited) at->second = s;
   }
   m.tasks = std::move(tasks);
+  refresh(m);
   const auto* record = replica_.machine(m.id);
-  if (!record || record->session != m.session || new_address || record->address != m.address)
-    write_machine(now, m, record ? record->standing : wire::MachineStanding::ready);
+  if (record && (record->session != m.session || new_address || record->address != m.address))
+    note_machine(now, m, m.standing, k::kHeardWithinMs);
   reconcile(now, m);
   dirty_ = true;
-}
-
-void Controller::write_machine(Ms now, Machine& m, wire::MachineStanding standing) {
-  if (m.record_busy || !can_write(now)) return;
-  wire::MachineRecord record;
-  record.address = m.address;
-  record.type = m.type;
-  record.zone = m.zone;
-  record.spot = m.spot;
-  record.standing = standing;
-  record.session = m.session;
-  const std::string key = std::string(wire::kMachinePrefix) + m.id;
-  Transaction t;
-  t.guards = {view_guard(), store_.guard(key)};
-  t.writes = {{key, encode(record), std::nullopt}};
-  m.record_busy = true;
-  t.done = [this, id = m.id](Ms at, Committed result, const auto&) {
-    auto release = [this, id](Ms) {
-      auto it = machines_.find(id);
-      if (it != machines_.end()) it->second.record_busy = false;
-      dirty_ = true;
-    };
-    if (result == Committed::yes) {
-      release(at);
-    } else {
-      settle(at, release);
-    }
-  };
-  store_.submit(std::move(t));
+  return true;
 }
 
 bool Controller::unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const {
@@ -202,6 +225,7 @@
     if (m.token_seen > sent) {
       // Guards against a start still in flight: it carries a token that the worker now refuses.
       m.unseen_starts.erase(task);
+      m.halts.erase(task);
       free_task(ref, p->attempt, false);
     }
   }
@@ -210,7 +234,7 @@
 bool Controller::absence_open(const Machine& m) const {
   for (const TaskRef& ref : replica_.placed_on(m.id)) {
     const auto* p = replica_.placement(ref);
-    if (!p || p->session != m.session || !unwanted(m, ref, *p)) continue;
+    if (!p || p->session < m.session || !unwanted(m, ref, *p)) continue;
     if (!m.tasks.contains({ref.range.job, ref.index})) {
       auto w = work_.find(ref.range);
       if (w == work_.end() || !w->second.freed.contains(ref.index)) return true;
@@ -242,10 +266,9 @@
       log(LogLevel::info,
           "task " + wire::task_name(ref.range.job, ref.index) + " failed on " + m.id);
       if (health_.failed(now, m.id, ref.range.job)) {
-        const auto* record = replica_.machine(m.id);
-        if (record && record->standing == wire::MachineStanding::ready) {
+        if (m.recorded && m.standing == wire::MachineStanding::ready) {
           log(LogLevel::info, "machine " + m.id + " is sick");
-          write_machine(now, m, wire::MachineStanding::sick);
+          note_machine(now, m, wire::MachineStanding::sick, 0);
         }
       }
       break;
@@ -362,7 +385,7 @@
 }
 
 bool Controller::direct_needed(const Machine& m, const std::vector<wire::Command>& list) const {
-  if (!m.touched) return true;
+  if (!m.touched || m.unreached_since != 0 || m.doubted) return true;
   if (std::any_of(list.begin(), list.end(),
                   [](const auto& c) { return c.kind != wire::CommandKind::forget; }))
     return true;
@@ -378,16 +401,26 @@
   if (now < m.orders_after) return;
   const auto list = commands(now, m);
   if (!probe && !direct_needed(m, list)) return;
+  // Bounded, or a cut would take all sockets; those that do not answer must not be in the way.
+  const bool doubtful = m.orders_failed > 0 || now - m.heard_at > silent_after();
+  int& out = doubtful ? probes_out_ : orders_out_;
+  if (out >= (doubtful ? k::kProbesInFlight : k::kOrdersInFlight)) {
+    m.kick_again = true;
+    return;
+  }
+  ++out;
   m.orders_in_flight = true;
   m.kick_again = false;
   call(Target::worker, m.address, "POST", wire::kOrdersPath,
        wire::orders_body(token(m), m.session, list), k::kOrdersTimeoutMs,
-       [this, id = m.id, epoch = m.owner_since](Ms at, const Outcome& outcome) {
-         on_orders(at, id, epoch, outcome);
+       [this, id = m.id, epoch = m.owner_since, asked = Counters(m.session, m.sequence), doubtful](
+           Ms at, const Outcome& outcome) {
+         --(doubtful ? probes_out_ : orders_out_);
+         on_orders(at, id, epoch, asked, outcome);
        });
 }
 
-void Controller::on_orders(Ms now, const std::string& id, std::uint64_t epoch,
+void Controller::on_orders(Ms now, const std::string& id, std::uint64_t epoch, Counters asked,
                            const Outcome& outcome) {
   auto it = machines_.find(id);
   if (it == machines_.end()) return;
@@ -397,14 +430,20 @@
   wire::MachineReport report;
   if ((outcome.status == 200 || outcome.status == 409) &&
       wire::parse_report(outcome.body, report) && report.machine == id) {
-    m.orders_failed = 0;
+    const bool again = Counters(report.session, report.sequence) <= asked;
+    if (again) restarted(now, m, report);
     take_report(now, m, report);
+    m.doubted = false;
+    m.orders_failed = 0;
+    // It has answered, so it is within reach. A restarted one shows our token first.
+    if (!again) m.unreached_since = 0;
     m.orders_after = outcome.status == 200 ? now : now + k::kOrdersRetryMs / 4;
   } else {
     // May still be executed: everything sent from now on outruns it.
-    ++m.fence;
+    out_of_reach(now, m);
+    m.candidate_known = false;
+    m.orders_after = now + (k::kOrdersRetryMs << std::min(m.orders_failed, k::kOrdersRetryDoubles));
     ++m.orders_failed;
-    m.orders_after = now + k::kOrdersRetryMs;
   }
   if (m.kick_again) kick(now, m);
 }
@@ -436,22 +475,36 @@
 
 void Controller::watch_machines(Ms now) {
   if (!ready() || now < machines_at_) return;
-  machines_at_ = now + kLookEveryMs;
+  machines_at_ = now + k::kLookEveryMs;
   std::erase_if(machines_, [&](const auto& entry) {
     const Machine& m = entry.second;
-    return !replica_.machine(m.id) && !m.record_busy && !m.orders_in_flight &&
+    return !m.recorded && !replica_.machine(m.id) && !m.orders_in_flight &&
            now - m.heard_at > silent_after();
   });
-  std::size_t silent = 0, heard = 0;
+  // Who hears nothing of most machines may be cut off itself, and a zone of which most is silent
+  // is cut off rather than dead: what runs there goes on, and returning it would end that.
+  struct Count {
+    std::size_t good = 0, bad = 0;
+  };
+  Count all;
+  std::map<std::string, Count> zones;
+  auto bad = [&](const Machine& m) {
+    return now - m.heard_at > silent_after() ||
+           (m.unreached_since != 0 && now - m.unreached_since > silent_after());
+  };
   for (const auto& [id, m] : machines_) {
-    if (m.session == 0) continue;
-    (now - m.heard_at > silent_after() ? silent : heard) += 1;
+    if (m.session == 0 || m.standing != wire::MachineStanding::ready) continue;
+    Count& zone = zones[m.zone];
+    bad(m) ? (++all.bad, ++zone.bad) : (++all.good, ++zone.good);
   }
   for (auto& [id, m] : machines_) {
     if (m.session == 0) continue;
     learn_lease(now, m);
-    const auto* record = replica_.machine(id);
-    const bool gone = record && record->standing == wire::MachineStanding::gone;
+    const bool ready = m.recorded && m.standing == wire::MachineStanding::ready;
+    const bool gone = m.standing == wire::MachineStanding::gone;
+    const Count& zone = zones[m.zone];
+    const bool few =
+        all.good >= all.bad && (zone.good >= zone.bad || now - m.heard_at > k::kZoneCutPatienceMs);
     if (gone || lease_over(now, m)) {
       // Every task it had is gone, and a start that is still on its way names an older session.
       for (const TaskRef& ref : replica_.placed_on(id)) {
@@ -459,13 +512,19 @@
         if (p && (gone || p->session <= m.session)) free_task(ref, p->attempt, false);
       }
       m.tasks.clear();
+      m.candidate_known = false;
       // Replaced, unless it is we who hear nobody.
-      if (!gone && record && record->standing != wire::MachineStanding::lost && heard >= silent &&
-          now - m.heard_at > silent_after())
-        write_machine(now, m, wire::MachineStanding::lost);
+      if (!gone && ready && few && now - m.heard_at > silent_after())
+        note_machine(now, m, wire::MachineStanding::lost, 0);
       continue;
     }
-    if (record && record->standing == wire::MachineStanding::sick) {
+    // It reports, but nothing reaches it: what it has is stopped by its own lease, and it goes.
+    if (ready && few && m.unreached_since != 0 &&
+        now - m.unreached_since > ms(settings_.lease_s * k::kUnreachedLeases)) {
+      log(LogLevel::info, "machine " + id + " cannot be reached; returning it");
+      note_machine(now, m, wire::MachineStanding::lost, 0);
+    }
+    if (m.standing == wire::MachineStanding::sick) {
       // What still runs there is stopped; the machine is returned once it is empty.
       for (const auto& [task, seen] : m.tasks) {
         const Job* job = replica_.job(task.job);
@@ -476,14 +535,12 @@
     }
     // Silent to reports and to a direct command while others are heard: most likely dead, hanging
     // or taken. Returning it proves its tasks gone sooner than its lease does.
-    if (m.orders_failed >= k::kProbesBeforeReturn && now - m.heard_at > silent_after() &&
-        heard > silent && record && record->standing == wire::MachineStanding::ready &&
-        !replica_.placed_on(id).empty()) {
+    if (m.orders_failed >= k::kProbesBeforeReturn && now - m.heard_at > silent_after() && few &&
+        ready && !replica_.placed_on(id).empty()) {
       log(LogLevel::info, "machine " + id + " is silent; returning it");
-      write_machine(now, m, wire::MachineStanding::lost);
+      note_machine(now, m, wire::MachineStanding::lost, 0);
     }
-    if (m.notice && record && record->standing == wire::MachineStanding::ready)
-      write_machine(now, m, wire::MachineStanding::draining);
+    if (m.notice && ready) note_machine(now, m, wire::MachineStanding::draining, 0);
     if (m.notice) {
       for (const auto& [task, seen] : m.tasks) {
         const Job* job = replica_.job(task.job);
@@ -492,7 +549,7 @@
         const double left_s = static_cast<double>(m.notice_ends - now) / 1000.0;
         const double ran =
             seen.running_since ? static_cast<double>(now - seen.running_since) / 1000.0 : 0;
-        const double need = remaining(spec.estimate_s, ran);
+        const double need = ran < spec.estimate_s ? spec.estimate_s - ran : k::kOverrunAllowanceS;
         if (spec.gang) {
           for (const auto& [number, r] : job->ranges) work_[{task.job, number}].want_stop = true;
           dirty_ = true;
@@ -502,6 +559,7 @@
         if (need < left_s - 1.0) continue;
         if (spec.checkpoint_s > 0 && left_s > spec.save_s + 2.0) continue;
         m.halts[task] = {seen.attempt, spec.checkpoint_s > 0 ? spec.save_s : 0.0};
+        m.candidate_known = false;
       }
     }
     const bool idle_probe = now - m.heard_at > silent_after() && now >= m.orders_after &&
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -251,12 +251,13 @@
     put(w, "d", hex_of(r.done));
     put(w, "n", r.next_attempt);
     if (r.stopping) put_bool(w, "s", true);
-    // Placements by machine, session and grant, so that a value holds several hundred.
+    // Placements by machine, session and grant (none: the owner's), so that a value holds hundreds.
     std::map<std::tuple<std::string, std::uint64_t, std::string>,
              std::vector<std::pair<std::uint32_t, std::uint64_t>>>
         groups;
     for (const auto& [task, p] : r.placed)
-      groups[{p.machine, p.session, p.grant}].emplace_back(task, p.attempt);
+      groups[{p.machine, p.session, p.grant == r.owner ? "" : p.grant}].emplace_back(task,
+                                                                                     p.attempt);
     w.Key("p");
     w.StartArray();
     for (const auto& [where, tasks] : groups) {
@@ -294,6 +295,7 @@
     p.machine = g[0].GetString();
     p.session = g[1].GetUint64();
     p.grant = g[2].GetString();
+    if (p.grant.empty()) p.grant = r.owner;
     for (rapidjson::SizeType i = 3; i < g.Size(); i += 2) {
       if (!g[i].IsUint() || !g[i + 1].IsUint64()) return false;
       const std::uint32_t task = g[i].GetUint();
@@ -305,28 +307,88 @@
   return true;
 }
 
-std::string encode(const MachineRecord& r) {
+namespace {
+// {"m":{ID:[...],...}}: a machine takes some 60 bytes.
+template <typename Record, typename Fill>
+std::string machines_body(const Record& r, Fill&& fill) {
   return object([&](Writer& w) {
-    put(w, "address", r.address);
-    put(w, "type", r.type);
-    put(w, "zone", r.zone);
-    put_bool(w, "spot", r.spot);
-    put(w, "standing", static_cast<std::uint64_t>(r.standing));
-    put(w, "session", r.session);
+    w.Key("m");
+    w.StartObject();
+    for (const auto& [id, m] : r.machines) {
+      w.Key(id.c_str());
+      w.StartArray();
+      fill(w, m);
+      w.EndArray();
+    }
+    w.EndObject();
   });
 }
 
-bool decode(std::string_view text, MachineRecord& r) {
+template <typename Record, typename Take>
+bool parse_machines(std::string_view text, Record& r, Take&& take) {
   rapidjson::Document doc;
-  std::uint64_t standing = 0;
-  if (!parse_object(text, doc) || !read(doc, "address", r.address) || !read(doc, "type", r.type) ||
-      !read(doc, "zone", r.zone) || !read(doc, "spot", r.spot) ||
-      !read(doc, "standing", standing) || standing > 4 || !read(doc, "session", r.session))
-    return false;
-  r.standing = static_cast<MachineStanding>(standing);
+  r.machines.clear();
+  if (!parse_object(text, doc)) return false;
+  const Json* all = member(doc, "m");
+  if (!all || !all->IsObject()) return false;
+  for (const auto& f : all->GetObject()) {
+    if (!f.value.IsArray()) return false;
+    auto& m = r.machines[std::string(f.name.GetString(), f.name.GetStringLength())];
+    if (!take(f.value, m)) return false;
+  }
   return true;
 }
 
+bool standing_of(const Json& v, MachineStanding& out) {
+  if (!v.IsUint() || v.GetUint() > static_cast<unsigned>(MachineStanding::gone)) return false;
+  out = static_cast<MachineStanding>(v.GetUint());
+  return true;
+}
+}  // namespace
+
+std::string encode(const FleetRecord& r) {
+  return machines_body(r, [](Writer& w, const MachineRecord& m) {
+    put_text(w, m.address);
+    put_text(w, m.type);
+    put_text(w, m.zone);
+    w.Uint(m.spot ? 1 : 0);
+    w.Uint(static_cast<unsigned>(m.standing));
+  });
+}
+
+bool decode(std::string_view text, FleetRecord& r) {
+  return parse_machines(text, r, [](const Json& v, MachineRecord& m) {
+    if (v.Size() < 5 || !v[0].IsString() || !v[1].IsString() || !v[2].IsString() || !v[3].IsUint())
+      return false;
+    m.address = v[0].GetString();
+    m.type = v[1].GetString();
+    m.zone = v[2].GetString();
+    m.spot = v[3].GetUint() != 0;
+    return standing_of(v[4], m.standing);
+  });
+}
+
+std::string encode(const PartRecord& r) {
+  return machines_body(r, [](Writer& w, const PartRecord::Heard& m) {
+    put_text(w, m.address);
+    w.Uint64(m.session);
+    w.Uint(static_cast<unsigned>(m.standing));
+  });
+}
+
+bool decode(std::string_view text, PartRecord& r) {
+  return parse_machines(text, r, [](const Json& v, PartRecord::Heard& m) {
+    if (v.Size() < 3 || !v[0].IsString() || !v[1].IsUint64()) return false;
+    m.address = v[0].GetString();
+    m.session = v[1].GetUint64();
+    return standing_of(v[2], m.standing);
+  });
+}
+
+std::string claim_body(std::string_view by) {
+  return object([&](Writer& w) { put(w, "by", by); });
+}
+
 std::string encode(const RentRequest& r) {
   return object([&](Writer& w) {
     put(w, "type", r.type);
@@ -403,6 +465,32 @@
   return std::string(kRangePrefix) + std::string(job) + "/" + std::to_string(number);
 }
 
+std::string fleet_key(std::uint32_t group) {
+  return std::string(kFleetPrefix) + std::to_string(group);
+}
+std::string part_key(std::string_view controller, std::uint32_t group) {
+  return std::string(kPartPrefix) + std::string(controller) + "/" + std::to_string(group);
+}
+std::string claim_key(std::string_view controller) {
+  return std::string(kClaimPrefix) + std::string(controller);
+}
+
+bool parse_fleet_key(std::string_view key, std::uint32_t& group) {
+  if (!key.starts_with(kFleetPrefix)) return false;
+  key.remove_prefix(kFleetPrefix.size());
+  auto [end, error] = std::from_chars(key.data(), key.data() + key.size(), group);
+  return error == std::errc{} && end == key.data() + key.size();
+}
+
+bool parse_part_key(std::string_view key, std::string& controller, std::uint32_t& group) {
+  const auto slash = key.rfind('/');
+  if (!key.starts_with(kPartPrefix) || slash < kPartPrefix.size()) return false;
+  controller = key.substr(kPartPrefix.size(), slash - kPartPrefix.size());
+  const std::string_view number = key.substr(slash + 1);
+  auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), group);
+  return error == std::errc{} && end == number.data() + number.size();
+}
+
 bool parse_range_key(std::string_view key, std::string& job, std::uint32_t& number) {
   if (!key.starts_with(kRangePrefix)) return false;
   TaskId id;
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -53,7 +53,9 @@
 // live/NAME         a controller's hold, with its incarnation and the epoch that it acts on
 // job/ID            an accepted job that is not over
 // range/ID/N        a range of a job's tasks: finished bitmap and placements
-// machine/ID        a rented machine
+// fleet/G           the rented machines of group G; written by the fleet's keeper alone
+// part/NAME/G       what controller NAME has heard from machines of group G, and decided on them
+// claim/NAME        stamped whenever another controller places tasks on machines of NAME's part
 // hire/NAME         a rental request that may be under way
 // quota/TEAM        grants of a team's limit to controllers
 // catalog           the machine types as last heard from the cloud
@@ -88,6 +90,7 @@
   std::string machine;
   std::uint64_t session = 0;
   std::string grant;  // controller whose quota grant it uses
+  bool operator==(const Placement&) const = default;
 };
 struct RangeRecord {
   std::string job;
@@ -117,9 +120,28 @@
   bool spot = false;
   MachineStanding standing = MachineStanding::ready;
   std::uint64_t session = 0;  // as last heard; 0: not heard yet
+  bool operator==(const MachineRecord&) const = default;
 };
-std::string encode(const MachineRecord& r);
-bool decode(std::string_view text, MachineRecord& r);
+// Machines share records, so that renting, hearing or losing many at once takes few writes. Each
+// record has one writer; what is known of a machine is the sum of both kinds (core/replica.cpp).
+struct FleetRecord {
+  std::map<std::string, MachineRecord> machines;  // session unused
+};
+std::string encode(const FleetRecord& r);
+bool decode(std::string_view text, FleetRecord& r);
+struct PartRecord {
+  struct Heard {
+    std::string address;
+    std::uint64_t session = 0;
+    MachineStanding standing = MachineStanding::ready;
+    bool operator==(const Heard&) const = default;
+  };
+  std::map<std::string, Heard> machines;
+};
+std::string encode(const PartRecord& r);
+bool decode(std::string_view text, PartRecord& r);
+// The value of a claim; only its stamp matters.
+std::string claim_body(std::string_view by);
 
 std::string encode(const RentRequest& r);
 bool decode(std::string_view text, RentRequest& r);
@@ -146,7 +168,9 @@
 constexpr std::string_view kLivePrefix = "live/";
 constexpr std::string_view kJobPrefixKey = "job/";
 constexpr std::string_view kRangePrefix = "range/";
-constexpr std::string_view kMachinePrefix = "machine/";
+constexpr std::string_view kFleetPrefix = "fleet/";
+constexpr std::string_view kPartPrefix = "part/";
+constexpr std::string_view kClaimPrefix = "claim/";
 constexpr std::string_view kHirePrefix = "hire/";
 constexpr std::string_view kQuotaPrefix = "quota/";
 constexpr std::string_view kOverPrefix = "over/";
@@ -155,5 +179,10 @@
 std::string over_key(std::string_view id);
 std::string range_key(std::string_view job, std::uint32_t number);
 bool parse_range_key(std::string_view key, std::string& job, std::uint32_t& number);
+std::string fleet_key(std::uint32_t group);
+bool parse_fleet_key(std::string_view key, std::uint32_t& group);
+std::string part_key(std::string_view controller, std::uint32_t group);
+bool parse_part_key(std::string_view key, std::string& controller, std::uint32_t& group);
+std::string claim_key(std::string_view controller);
 
 }  // namespace puffinhaven::wire
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -13,6 +13,8 @@
 namespace puffinhaven::core {
 namespace {
 
+constexpr Ms kNow = 1'000'000;
+
 wire::JobSpec spec(double cpus, double estimate_s = 60) {
   wire::JobSpec j;
   j.id = "req-000001";
@@ -31,51 +33,55 @@
   c.cpus = free;
   c.memory_gb = 64;
   c.fetch_gb_per_s = 1;
-  if (cpus > free) c.booked.push_back({cpus - free, 0, 0, 30});
+  if (cpus > free) c.booked.push_back({cpus - free, 0, 0, kNow + 30'000});
   return c;
 }
 
 TEST(Placement, PredictionIsWaitFetchAndEstimate) {
   const auto job = spec(4);
   Candidate free = machine("a", 8, 8);
-  EXPECT_DOUBLE_EQ(predict(free, job), 62);
+  EXPECT_DOUBLE_EQ(predict(kNow, free, job), 62);
   free.images.push_back("i");
-  EXPECT_DOUBLE_EQ(predict(free, job), 60);
-  EXPECT_DOUBLE_EQ(predict(machine("b", 8, 2), job), 92);
-  EXPECT_GT(predict(machine("c", 2, 2), job), 1e6);  // never fits
+  EXPECT_DOUBLE_EQ(predict(kNow, free, job), 60);
+  EXPECT_DOUBLE_EQ(predict(kNow, machine("b", 8, 2), job), 92);
+  EXPECT_GT(predict(kNow, machine("c", 2, 2), job), 1e6);  // never fits
 }
 
 TEST(Placement, OverrunningTaskEndsWithinTheAllowance) {
-  EXPECT_DOUBLE_EQ(remaining(60, 20), 40);
-  EXPECT_DOUBLE_EQ(remaining(60, 200), constants::kOverrunAllowanceS);
+  EXPECT_DOUBLE_EQ(remaining_s(kNow, kNow + 40'000), 40);
+  EXPECT_DOUBLE_EQ(remaining_s(kNow, kNow - 140'000), constants::kOverrunAllowanceS);
 }
 
 TEST(Placement, ScanFindsTheOnlyRoomAndNoneWaits) {
   pcg32 random(1);
-  std::vector<Candidate> pool;
+  std::vector<Candidate> machines;
+  std::vector<Candidate*> pool;
   std::vector<int> all;
   for (int i = 0; i < 20; ++i) {
-    pool.push_back(machine(std::to_string(i), 8, i == 13 ? 8 : 1));
+    machines.push_back(machine(std::to_string(i), 8, i == 13 ? 8 : 1));
     all.push_back(i);
   }
-  for (int n = 0; n < 50; ++n) EXPECT_EQ(choose(pool, spec(4), all, random), 13);
-  pool[13].cpus = 0;
-  EXPECT_EQ(choose(pool, spec(4), all, random), -1);
-  EXPECT_EQ(choose(pool, spec(4), {}, random), -1);
+  for (auto& m : machines) pool.push_back(&m);
+  for (int n = 0; n < 50; ++n) EXPECT_EQ(choose(kNow, pool, spec(4), all, random), 13);
+  machines[13].cpus = 0;
+  EXPECT_EQ(choose(kNow, pool, spec(4), all, random), -1);
+  EXPECT_EQ(choose(kNow, pool, spec(4), {}, random), -1);
 }
 
 TEST(Placement, LowerPredictionOfTwoSamplesWins) {
   // One machine in four has the image; with two samples about 7/16 of the draws see one of them.
   pcg32 random(7);
-  std::vector<Candidate> pool;
+  std::vector<Candidate> machines;
+  std::vector<Candidate*> pool;
   std::vector<int> all;
   for (int i = 0; i < 8; ++i) {
-    pool.push_back(machine(std::to_string(i), 8, 8));
-    if (i < 2) pool.back().images.push_back("i");
+    machines.push_back(machine(std::to_string(i), 8, 8));
+    if (i < 2) machines.back().images.push_back("i");
     all.push_back(i);
   }
+  for (auto& m : machines) pool.push_back(&m);
   int hits = 0;
-  for (int n = 0; n < 4000; ++n) hits += choose(pool, spec(1), all, random) < 2;
+  for (int n = 0; n < 4000; ++n) hits += choose(kNow, pool, spec(1), all, random) < 2;
   EXPECT_NEAR(hits / 4000.0, 7.0 / 16, 0.03);
 }
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -141,9 +141,25 @@
   quota.wanted["b"] = {0, 1};
   ASSERT_TRUE(decode(encode(quota), quota2));
   EXPECT_EQ(encode(quota), encode(quota2));
-  MachineRecord machine{"1.2.3.4:5", "t", "z", true, MachineStanding::sick, 4}, machine2;
-  ASSERT_TRUE(decode(encode(machine), machine2));
-  EXPECT_EQ(encode(machine), encode(machine2));
+  FleetRecord fleet, fleet2;
+  fleet.machines["n-1"] = {"1.2.3.4:5", "t", "z", true, MachineStanding::sick, 0};
+  fleet.machines["n-2"] = {"", "t", "y", false, MachineStanding::gone, 0};
+  ASSERT_TRUE(decode(encode(fleet), fleet2));
+  EXPECT_EQ(fleet.machines, fleet2.machines);
+  EXPECT_FALSE(decode(R"({"m":{"n-1":["","t","z",1,5]}})", fleet2));
+  EXPECT_FALSE(decode(R"({"m":{"n-1":["","t"]}})", fleet2));
+  PartRecord part, part2;
+  part.machines["n-1"] = {"1.2.3.4:5", 9, MachineStanding::lost};
+  ASSERT_TRUE(decode(encode(part), part2));
+  EXPECT_EQ(part.machines, part2.machines);
+  EXPECT_FALSE(decode(R"({"m":{"n-1":["",-1,0]}})", part2));
+  std::string name;
+  std::uint32_t group = 0;
+  EXPECT_TRUE(parse_part_key(part_key("puffin-0", 7), name, group));
+  EXPECT_EQ(name, "puffin-0");
+  EXPECT_EQ(group, 7U);
+  EXPECT_FALSE(parse_part_key("part/7", name, group));
+  EXPECT_FALSE(parse_fleet_key("fleet/x", group));
 }
 
 TEST(Wire, PeerHintRoundTripAndGarbage) {
