--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 constexpr core::Ms kStatusEveryMs = 10'000;  // between lines about the state of things, at info
-}
+constexpr core::Ms kTimerSlackMs = 5;        // by which a look may be late; setting a timer costs
+}  // namespace
 
 Service::Service(asio::io_context& io, const NodeSettings& settings, const Options& options,
                  std::uint64_t seed)
@@ -20,11 +21,13 @@
       settings_(settings),
       options_(options),
       controller_(settings.core, seed),
-      client_(io),
+      client_(io, static_cast<std::size_t>(settings.fd_limit / net::limits::kIdleSocketsShare)),
       timer_(io) {
-  const int most = options_.max_connections > 0
-                       ? options_.max_connections
-                       : std::max(16, settings_.fd_limit - net::limits::kReservedSockets);
+  const int most =
+      options_.max_connections > 0
+          ? options_.max_connections
+          : std::max(16, settings_.fd_limit - settings_.fd_limit / net::limits::kIdleSocketsShare -
+                             net::limits::kReservedSockets);
   server_ = std::make_unique<net::HttpServer>(
       io, *net::parse_endpoint(settings_.listen), most,
       [this](std::uint64_t id, net::HttpServer::Request r) {
@@ -64,17 +67,25 @@
 }
 
 void Service::tick() {
-  timer_.expires_after(std::chrono::milliseconds(options_.tick_ms));
+  const core::Ms now = steady_ms();
+  controller_.tick(now, wall_ms());
+  look_at_ = 0;
+  carry_out();
+  if (now >= status_at_) {
+    status_at_ = now + kStatusEveryMs;
+    spdlog::info("{}, connections {}", controller_.status_line(now), server_->connections());
+  }
+}
+
+// The timer is set only when the core wants to look at the time earlier than it would.
+void Service::arm() {
+  const core::Ms now = steady_ms();
+  const core::Ms at = std::clamp(controller_.next_look(now), now + 1, now + options_.tick_ms);
+  if (look_at_ != 0 && look_at_ <= at + kTimerSlackMs) return;
+  look_at_ = at;
+  timer_.expires_after(std::chrono::milliseconds(at - now));
   timer_.async_wait([this](std::error_code error) {
-    if (error) return;
-    const core::Ms now = steady_ms();
-    controller_.tick(now, wall_ms());
-    carry_out();
-    if (now >= status_at_) {
-      status_at_ = now + kStatusEveryMs;
-      spdlog::info("{}, connections {}", controller_.status_line(now), server_->connections());
-    }
-    tick();
+    if (!error) tick();
   });
 }
 
@@ -104,6 +115,7 @@
     for (auto& p : out.peers) peers_->send(p.to, p.bytes);
   }
   carrying_ = false;
+  arm();
 }
 
 }  // namespace puffinhaven::app
--- a/src/app/service.h
+++ b/src/app/service.h
@@ -24,6 +24,7 @@
   static core::Ms wall_ms();
   void tick();
   void carry_out();
+  void arm();
 
   asio::io_context& io_;
   NodeSettings settings_;
@@ -34,6 +35,7 @@
   std::unique_ptr<net::PeerLinks> peers_;
   asio::steady_timer timer_;
   core::Ms status_at_ = 0;
+  core::Ms look_at_ = 0;  // when the timer ends; 0: not set
   bool carrying_ = false;
 };
 
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -19,7 +19,7 @@
 
 struct Options {
   std::string log_level;  // empty: LOG_LEVEL decides
-  int tick_ms = 20;
+  int tick_ms = 100;
   int max_connections = 0;  // 0: from the platform's limit on sockets
 };
 Options load_options(const std::string& path);
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -14,7 +14,7 @@
 // Tasks placed in one scheduling pass; bounds the time of a pass on a small processor share.
 constexpr int kPlacementsPerPass = 256;
 // Milliseconds between passes at least; a pass takes about a millisecond.
-constexpr std::int64_t kPassEveryMs = 25;
+constexpr std::int64_t kPassEveryMs = 50;
 // Milliseconds before a refused write is tried again.
 constexpr std::int64_t kRefusedRetryMs = 250;
 // Milliseconds between looks at the grants of teams' limits.
@@ -101,6 +101,12 @@
 constexpr int kTransactionsInFlight = 3;
 // Bytes of one transaction's body (limit 64 KiB), with room for its frame.
 constexpr std::size_t kTransactionBytes = 56 * 1024;
+// Share of a second's writes that is kept for what users wait for.
+constexpr double kUrgentShare = 0.25;
+// Milliseconds between looks at the time while nothing waits, and while something does. Waking up
+// costs more processor time than what is done then.
+constexpr std::int64_t kIdleLookMs = 100;
+constexpr std::int64_t kBusyLookMs = 20;
 // Share of a second's writes that must be left for what can wait to be written.
 constexpr double kSpareShare = 0.5;
 // Conditions per put allowed in a transaction (PROTOCOL).
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -49,6 +49,11 @@
   tell_peers(now);
 }
 
+Ms Controller::next_look(Ms now) const {
+  const Ms at = store_.next_look(now);
+  return dirty_ ? std::min(at, std::max(schedule_after_, now)) : at;
+}
+
 void Controller::on_request(Ms now, std::uint64_t request, const Request& r) {
   const std::string path = r.path.substr(0, r.path.find('?'));
   const bool get = r.method == "GET", post = r.method == "POST";
@@ -75,6 +80,7 @@
   } else {
     answer(request, 404, wire::error_body("no such path"));
   }
+  if (dirty_ && now >= schedule_after_) schedule(now);
 }
 
 void Controller::on_outcome(Ms now, std::uint64_t id, const Outcome& outcome) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -46,6 +46,8 @@
   void on_request(Ms now, std::uint64_t request, const Request& r);
   void on_outcome(Ms now, std::uint64_t call, const Outcome& outcome);
   void on_peer(Ms now, std::string_view bytes);
+  // When tick() should be called next, if nothing else happens.
+  Ms next_look(Ms now) const;
   Output take_output() { return std::exchange(out_, {}); }
 
   const Replica& replica() const { return replica_; }
@@ -221,7 +223,8 @@
   void add_foreign(Pass& pass);
   void place_array(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range,
                    const Urgency& urgency);
-  bool zone_allows(const Job& job, const std::string& zone) const;
+  // Zones that the next task of the job may go to, of those of the pool.
+  std::set<std::string> zones_open(const Pass& pass, const Job& job) const;
   void assign(Pass& pass, RangeWork& work, const RangeId& id, const Job& job, std::uint32_t task,
               std::uint64_t attempt, int machine, bool booked);
   void drop_placing(RangeWork& work, std::size_t count);
@@ -240,7 +243,7 @@
 
   // ---- ranges.cpp ----
   std::size_t placed_most(std::uint32_t tasks) const;
-  std::vector<wire::RangeRecord> divide(const wire::JobSpec& spec) const;
+  std::vector<wire::JobRecord::Share> divide(const wire::JobSpec& spec) const;
   void take_ranges(Ms now, Pass& pass);
   double room_for(Pass& pass, const wire::JobSpec& spec) const;
   void write_taken(const RangeId& from, std::uint32_t first, const RangeId& to);
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -176,14 +176,10 @@
   wire::JobRecord record;
   record.spec = spec;
   record.submitted_ms = now + wall_offset_;
+  record.shares = divide(spec);
   Transaction t;
   t.guards = {view_guard(), {wire::job_key(id), 0}, {wire::over_key(id), 0}};
   t.writes.push_back({wire::job_key(id), encode(record), std::nullopt});
-  for (const auto& r : divide(spec)) {
-    const std::string key = wire::range_key(id, r.number);
-    t.guards.push_back({key, 0});
-    t.writes.push_back({key, encode(r), std::nullopt});
-  }
   t.urgent = true;
   t.give_up = now + k::kSubmitPatienceMs;
   ++waiting_requests_;
@@ -304,7 +300,7 @@
     const std::string range = wire::range_key(id, number);
     // Every range is a condition; those beyond one transaction are removed by a later one.
     t.guards.push_back(store_.guard(range));
-    if (static_cast<int>(t.writes.size()) < settings_.txn_ops)
+    if (static_cast<int>(t.writes.size()) < settings_.txn_ops && !job.unwritten.contains(number))
       t.writes.push_back({range, std::nullopt, std::nullopt});
   }
   finishing_.insert(id);
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -18,16 +18,7 @@
   return static_cast<std::size_t>(std::max(1.0, bytes / k::kBytesPerPlacement));
 }
 
-std::vector<wire::RangeRecord> Controller::divide(const wire::JobSpec& spec) const {
-  auto make = [&](std::uint32_t begin, std::uint32_t end, const std::string& owner) {
-    wire::RangeRecord r;
-    r.job = spec.id;
-    r.owner = owner;
-    r.begin = begin;
-    r.end = end;
-    r.done.assign(end - begin, false);
-    return r;
-  };
+std::vector<wire::JobRecord::Share> Controller::divide(const wire::JobSpec& spec) const {
   // Free room and load of each part, in tasks of this job, from sums: what it could hold, less what
   // its ranges have placed and waiting. Placements of a range are on its owner's machines but for
   // gangs and zoned jobs, which are few.
@@ -98,13 +89,12 @@
     best->load += n;
     given += n;
   }
-  std::vector<wire::RangeRecord> out;
+  std::vector<wire::JobRecord::Share> out;
   std::uint32_t begin = 0;
   for (const auto& [name, p] : parts) {
     for (std::uint32_t left = p.given; left > 0;) {
       const std::uint32_t n = std::min(left, k::kTasksPerRange);
-      out.push_back(make(begin, begin + n, name));
-      out.back().number = static_cast<std::uint32_t>(out.size());
+      out.push_back({static_cast<std::uint32_t>(out.size()) + 1, begin, begin + n, name});
       begin += n;
       left -= n;
     }
--- a/src/core/replica.cpp
+++ b/src/core/replica.cpp
@@ -49,6 +49,7 @@
       record.number = id.number;
       apply_range(id, job, old == job.ranges.end() ? nullptr : &old->second, &record);
       job.ranges[id.number] = std::move(record);
+      job.unwritten.erase(id.number);
     } else {
       if (old != job.ranges.end()) {
         apply_range(id, job, &old->second, nullptr);
@@ -66,6 +67,8 @@
       if (it == jobs_.end()) return true;
       if (it->second.known) count_job(it->second, -1);
       it->second.known = false;
+      for (const std::uint32_t n : std::exchange(it->second.unwritten, {}))
+        it->second.ranges.erase(n);
       if (it->second.ranges.empty()) jobs_.erase(it);
       return true;
     }
@@ -77,6 +80,18 @@
     job.record = std::move(record);
     job.known = true;
     count_job(job, 1);
+    for (const auto& share : job.record.shares) {
+      auto [range, added] = job.ranges.try_emplace(share.number);
+      if (!added) continue;
+      wire::RangeRecord& r = range->second;
+      r.job = id;
+      r.number = share.number;
+      r.owner = share.owner;
+      r.begin = share.begin;
+      r.end = share.end;
+      r.done.assign(share.end - share.begin, false);
+      job.unwritten.insert(share.number);
+    }
     if (cancelled_now) {
       for (const auto& [number, r] : job.ranges)
         for (const auto& [task, p] : r.placed) changed_machines_.insert(p.machine);
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -33,6 +33,8 @@
 struct Job {
   wire::JobRecord record;
   std::map<std::uint32_t, wire::RangeRecord> ranges;
+  // Of these, the ones that have no record of their own yet.
+  std::set<std::uint32_t> unwritten;
   // Known once the record itself was read; ranges may come first.
   bool known = false;
   // Sums over the ranges, kept up to date.
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -241,26 +241,27 @@
   store_.tick(now);
 }
 
-bool Controller::zone_allows(const Job& job, const std::string& zone) const {
+std::set<std::string> Controller::zones_open(const Pass& pass, const Job& job) const {
   const auto& spec = job.record.spec;
-  if (!spec.one_zone && !spec.spread) return true;
-  std::size_t here = 0;
+  std::map<std::string, std::size_t> here;  // tasks by zone
+  auto count = [&](const wire::Placement& p) {
+    const auto* m = replica_.machine(p.machine);
+    ++here[m ? m->zone : ""];
+  };
   for (const auto& [number, r] : job.ranges) {
-    auto count = [&](const wire::Placement& p) {
-      const auto* m = replica_.machine(p.machine);
-      const std::string other = m ? m->zone : "";
-      if (spec.one_zone && other != zone) return false;
-      if (other == zone) ++here;
-      return true;
-    };
-    for (const auto& [task, p] : r.placed)
-      if (!count(p)) return false;
-    if (auto w = work_.find({spec.id, number}); w != work_.end()) {
-      for (const auto& [task, p] : w->second.placing)
-        if (!count(p)) return false;
-    }
+    for (const auto& [task, p] : r.placed) count(p);
+    if (auto w = work_.find({spec.id, number}); w != work_.end())
+      for (const auto& [task, p] : w->second.placing) count(p);
+  }
+  std::set<std::string> out;
+  for (const auto* c : pass.pool) {
+    const bool alone = here.empty() || (here.size() == 1 && here.contains(c->zone));
+    auto n = here.find(c->zone);
+    const std::size_t then = (n == here.end() ? 0 : n->second) + 1;
+    if ((!spec.one_zone || alone) && (!spec.spread || then <= (spec.tasks + 1) / 2))
+      out.insert(c->zone);
   }
-  return !spec.spread || here + 1 <= (spec.tasks + 1) / 2;
+  return out;
 }
 
 void Controller::place_array(Pass& pass, const RangeId& id, const Job& job,
@@ -304,10 +305,12 @@
       break;
     }
     int chosen = -1;
+    std::set<std::string> open;
     if (zoned) {
+      open = zones_open(pass, job);
       std::vector<int> here = eligible;
       std::erase_if(here, [&](int i) {
-        return !zone_allows(job, pass.pool[static_cast<std::size_t>(i)]->zone);
+        return !open.contains(pass.pool[static_cast<std::size_t>(i)]->zone);
       });
       chosen = choose(pass.now, pass.pool, spec, here, random_);
     } else {
@@ -315,8 +318,7 @@
     }
     // What can meet no aim any more waits for room instead of making others late.
     if (chosen < 0 && !urgency.hopeless) chosen = make_room(pass, spec);
-    if (chosen >= 0 && zoned &&
-        !zone_allows(job, pass.pool[static_cast<std::size_t>(chosen)]->zone))
+    if (chosen >= 0 && zoned && !open.contains(pass.pool[static_cast<std::size_t>(chosen)]->zone))
       chosen = -1;
     if (chosen < 0) {
       if (!zoned) pass.failed.push_back(&spec);
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -307,6 +307,15 @@
   return queue_.empty() && in_flight_ < k::kTransactionsInFlight && tokens >= rate * k::kSpareShare;
 }
 
+Ms Store::next_look(Ms now) const {
+  Ms at = now + k::kIdleLookMs;
+  if (!queue_.empty() && in_flight_ < k::kTransactionsInFlight)
+    at = std::min(at, std::max({next_transaction_, paused_until_, now + k::kBusyLookMs}));
+  if (!barriers_.empty() && !barrier_in_flight_) at = std::min(at, std::max(next_barrier_, now));
+  if (loaded_ && !watching_) at = std::min(at, std::max(watch_at_, now));
+  return at;
+}
+
 void Store::flush(Ms now) {
   if (queue_.empty()) return;
   // Refuse at once what cannot be sent; whoever asked decides whether to come back.
@@ -363,7 +372,9 @@
         queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
         continue;
       }
-      const bool paid = write_tokens_ >= static_cast<double>(writes + t.writes.size()) ||
+      // What users wait for finds something left of the rate.
+      const double left = write_tokens_ - (t.urgent ? 0.0 : rate * k::kUrgentShare);
+      const bool paid = left >= static_cast<double>(writes + t.writes.size()) ||
                         (group.empty() && write_tokens_ >= rate - 1);
       if (!allowed || !paid) break;
       if (clash) {
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -41,6 +41,8 @@
 
   void start(Ms now);
   void tick(Ms now);
+  // When tick() should be called next at the latest.
+  Ms next_look(Ms now) const;
   // True once every record has been read and the watch runs.
   bool loaded() const { return loaded_; }
   // True while the service answers.
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -133,7 +133,7 @@
   }
   const bool new_address = m.address != report.address;
   m.doubted = false;
-  m.candidate_known = false;
+  bool changed = m.sequence == 0 || new_address;
   m.session = report.session;
   m.sequence = report.sequence;
   m.address = report.address;
@@ -142,11 +142,13 @@
   m.spot = report.spot;
   m.heard_at = now;
   m.token_seen = std::max(m.token_seen, report.token);
-  if (report.token >= Membership::token(m.owner_since, 0)) m.touched = true;
+  if (report.token >= Membership::token(m.owner_since, 0) && !m.touched) m.touched = changed = true;
   if (m.unreached_since != 0 && report.token >= m.reach_token) {
     m.unreached_since = 0;
     m.orders_failed = 0;
+    changed = true;
   }
+  changed = changed || m.notice != report.notice_s.has_value();
   m.notice = report.notice_s.has_value();
   if (m.notice) m.notice_ends = now + ms(*report.notice_s);
   std::map<wire::TaskId, Seen> tasks;
@@ -158,6 +160,7 @@
     s.saved = t.saved;
     auto old = m.tasks.find(t.task);
     const bool same = old != m.tasks.end() && old->second.attempt == t.attempt;
+    changed = changed || !same || old->second.state != t.state;
     if (t.state == wire::TaskState::running) {
       s.running_since = same && old->second.running_since ? old->second.running_since : now;
     }
@@ -176,13 +179,18 @@
     auto [at, fresh] = tasks.emplace(t.task, s);
     if (!fresh && at->second.state == wire::TaskState::exited) at->second = s;
   }
+  changed = changed || tasks.size() != m.tasks.size();
   m.tasks = std::move(tasks);
   refresh(m);
   const auto* record = replica_.machine(m.id);
   if (record && (record->session != m.session || new_address || record->address != m.address))
     note_machine(now, m, m.standing, k::kHeardWithinMs);
   reconcile(now, m);
-  dirty_ = true;
+  // Most reports only say that all goes on.
+  if (changed) {
+    m.candidate_known = false;
+    dirty_ = true;
+  }
   return true;
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -124,8 +124,9 @@
     complete_ = false;
     const bool keep = !error && http_should_keep_alive(&parser_) != 0;
     auto& idle = client_.idle_[address_];
-    if (keep && idle.size() < limits::kClientIdlePerAddress) {
+    if (keep && idle.size() < limits::kClientIdlePerAddress && client_.kept_ < client_.most_kept_) {
       since_ = Clock::now();
+      ++client_.kept_;
       idle.push_back(shared_from_this());
       read();
     } else {
@@ -171,7 +172,10 @@
   Clock::time_point since_;
 };
 
-HttpClient::HttpClient(asio::io_context& io) : io_(io), sweeper_(io) { sweep(); }
+HttpClient::HttpClient(asio::io_context& io, std::size_t most_kept)
+    : io_(io), sweeper_(io), most_kept_(most_kept) {
+  sweep();
+}
 HttpClient::~HttpClient() = default;
 
 void HttpClient::sweep() {
@@ -183,6 +187,7 @@
       std::erase_if(list, [&](const auto& c) {
         if (c->open() && c->since() >= oldest) return false;
         c->close();
+        --kept_;
         return true;
       });
     }
@@ -196,6 +201,7 @@
   while (!idle.empty()) {
     auto connection = idle.back();
     idle.pop_back();
+    --kept_;
     if (!connection->open()) continue;
     connection->start(request, std::move(done), false);
     return;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -22,7 +22,8 @@
   // Status 0: no answer.
   using Done = std::function<void(int status, std::string body)>;
 
-  explicit HttpClient(asio::io_context& io);
+  // Keeps at most so many idle connections.
+  HttpClient(asio::io_context& io, std::size_t most_kept);
   ~HttpClient();
   void send(Request request, Done done);
 
@@ -31,6 +32,7 @@
   void sweep();
   asio::io_context& io_;
   asio::steady_timer sweeper_;
+  std::size_t most_kept_, kept_ = 0;
   std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> idle_;
 };
 
--- a/src/net/limits.h
+++ b/src/net/limits.h
@@ -22,11 +22,15 @@
 // Milliseconds between looks for connections to close.
 constexpr std::int64_t kSweepMs = 2'000;
 // Milliseconds for which our idle connections to others are kept for reuse.
-constexpr std::int64_t kClientIdleMs = 15'000;
+// A machine gets something to do every ten to sixty seconds, and a new connection costs as much as
+// several messages.
+constexpr std::int64_t kClientIdleMs = 90'000;
 // Idle connections kept per address.
 constexpr std::size_t kClientIdlePerAddress = 4;
-// Sockets left for our own calls, links and listeners, out of the limit on all sockets.
-constexpr int kReservedSockets = 150;
+// Of the limit on all sockets, one in so many is for idle connections of ours, kept for reuse; and
+// sockets left for calls under way, links and listeners.
+constexpr int kIdleSocketsShare = 4;
+constexpr int kReservedSockets = 110;
 // Milliseconds before a peer link that failed is tried again.
 constexpr std::int64_t kPeerRetryMs = 1'000;
 // Bytes that may wait on a peer link; more are dropped, since hints may be lost.
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -226,6 +226,17 @@
     w.Key("submittedMs");
     w.Int64(r.submitted_ms);
     put_bool(w, "cancelled", r.cancelled);
+    w.Key("shares");
+    w.StartArray();
+    for (const auto& share : r.shares) {
+      w.StartArray();
+      w.Uint(share.number);
+      w.Uint(share.begin);
+      w.Uint(share.end);
+      put_text(w, share.owner);
+      w.EndArray();
+    }
+    w.EndArray();
   });
 }
 
@@ -236,6 +247,16 @@
   const Json* t = member(doc, "submittedMs");
   if (!t || !t->IsInt64()) return false;
   r.submitted_ms = t->GetInt64();
+  r.shares.clear();
+  if (const Json* shares = member(doc, "shares")) {
+    if (!shares->IsArray()) return false;
+    for (const Json& v : shares->GetArray()) {
+      if (!v.IsArray() || v.Size() != 4 || !v[0].IsUint() || !v[1].IsUint() || !v[2].IsUint() ||
+          !v[3].IsString() || v[1].GetUint() >= v[2].GetUint() || v[2].GetUint() > r.spec.tasks)
+        return false;
+      r.shares.push_back({v[0].GetUint(), v[1].GetUint(), v[2].GetUint(), v[3].GetString()});
+    }
+  }
   return read(doc, "cancelled", r.cancelled);
 }
 
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -51,8 +51,9 @@
 // ---- records of puffinhaven ----
 // view              the live controllers and the epoch
 // live/NAME         a controller's hold, with its incarnation and the epoch that it acts on
-// job/ID            an accepted job that is not over
-// range/ID/N        a range of a job's tasks: finished bitmap and placements
+// job/ID            an accepted job that is not over, and how its tasks were first divided
+// range/ID/N        a range of a job's tasks: finished bitmap and placements; written when one of
+//                   them is first placed
 // fleet/G           the rented machines of group G; written by the fleet's keeper alone
 // part/NAME/G       what controller NAME has heard from machines of group G, and decided on them
 // claim/NAME        stamped whenever another controller places tasks on machines of NAME's part
@@ -78,9 +79,16 @@
 bool decode(std::string_view text, LiveRecord& r);
 
 struct JobRecord {
+  // A range as first given out; its own record stands for it once there is one. So a submission is
+  // one write.
+  struct Share {
+    std::uint32_t number = 0, begin = 0, end = 0;
+    std::string owner;
+  };
   JobSpec spec;
   std::int64_t submitted_ms = 0;  // time of day
   bool cancelled = false;
+  std::vector<Share> shares;
 };
 std::string encode(const JobRecord& r);
 bool decode(std::string_view text, JobRecord& r);
--- a/tests/sim/state_stand_in.h
+++ b/tests/sim/state_stand_in.h
@@ -64,7 +64,7 @@
   std::vector<Change> changes;
   std::map<std::uint64_t, std::pair<Ms, Ms>> holds;  // permit -> end, life
   std::vector<Watcher> watchers;
-  std::uint64_t revision = 0, next_permit = 1;
+  std::uint64_t revision = 0, next_permit = 1, writes = 0;
   bool outage = false;
   bool ignore_guards = false;
 
@@ -142,6 +142,7 @@
       if (w.HasMember("permit") && !holds.contains(w["permit"].GetUint64()))
         return respond(400, R"({"error":"no such lease"})");
     if (!doc["writes"].Empty()) ++revision;
+    writes += doc["writes"].Size();
     for (const auto& w : doc["writes"].GetArray()) {
       if (w.HasMember("write")) {
         Item& item = items[w["write"].GetString()];
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -112,7 +112,7 @@
     nodes_.push_back(std::move(n));
   }
   for (std::size_t i = 0; i < 3; ++i) start_node(i);
-  for (int i = 0; i < 6; ++i) add_machine(kZones[i % 3], false, 1, "");
+  for (int i = 0; i < options_.machines; ++i) add_machine(kZones[i % 3], false, 1, "");
   const std::function<void()> beat = [this] {
     check_all();
     gang_step();
@@ -148,7 +148,9 @@
 
 Result World::run() {
   const Ms end = options_.busy_ms + options_.calm_ms;
-  for (Ms t = 500; t < options_.busy_ms; t += 600 + random(1800)) at(t, [this] { new_job(); });
+  for (Ms t = 500; t < options_.busy_ms;
+       t += options_.job_every_ms / 2 + random(options_.job_every_ms))
+    at(t, [this] { new_job(); });
   if (options_.troubles)
     for (Ms t = 6000; t < options_.busy_ms; t += 2500 + random(5000)) at(t, [this] { trouble(); });
   at(options_.busy_ms, [this] {
@@ -166,6 +168,7 @@
     now_ = std::max(now_, e.time);
     e.action();
   }
+  result_.writes = state_->writes;
   for (const auto& n : nodes_)
     if (n->controller) trace(n->name + ": " + n->controller->status_line(now_));
   for (const auto& [id, j] : jobs_) {
@@ -339,7 +342,8 @@
       int running = 0;
       for (const auto& [id, m] : cloud_->machines)
         running += m.zone == doc["yard"].GetString() && m.spot == doc["standby"].GetBool();
-      const int want = std::min<int>(static_cast<int>(doc["number"].GetUint()), 3 - running);
+      const int want =
+          std::min<int>(static_cast<int>(doc["number"].GetUint()), options_.capacity - running);
       if (want <= 0) return respond(503, R"({"error":"no capacity"})");
       cloud_->hires[hire];
       for (int k = 0; k < want; ++k)
@@ -777,7 +781,9 @@
   s.priority = static_cast<wire::Priority>(random(4));
   const int kind = random(10);
   s.gang = kind < 2;
-  s.tasks = static_cast<std::uint32_t>(s.gang ? 2 + random(4) : chance(0.1) ? 60 : 1 + random(10));
+  s.tasks = static_cast<std::uint32_t>(s.gang        ? 2 + random(4)
+                                       : chance(0.1) ? options_.largest_array
+                                                     : 1 + random(options_.largest_array / 6));
   s.cpus = 1 + random(4);
   s.memory_gb = 1;
   s.image = "i" + std::to_string(random(4));
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -27,7 +27,11 @@
   bool troubles = true;
   double limit_cpus = 40;  // of team "tight"
   double repeated = 0.02;  // share of requests of which a copy is executed again later
-  std::string trace;       // prints what mentions this (a machine, a job) to standard error
+  // Size: machines at the start, what the cloud has of each zone and kind, the largest array, and
+  // milliseconds between jobs on average.
+  int machines = 6, capacity = 3, largest_array = 60;
+  int job_every_ms = 1500;
+  std::string trace;  // prints what mentions this (a machine, a job) to standard error
   // Taken out:
   bool state_ignores_guards = false;
   bool workers_ignore_tokens = false;
@@ -40,6 +44,7 @@
   std::vector<std::string> unfinished;  // jobs not over at the end
   int accepted = 0, done = 0, cancelled = 0, starts = 0, gangs_done = 0, spread_done = 0;
   int stopped_saved = 0;
+  std::uint64_t writes = 0;  // of the state service
 };
 
 class World {
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -43,6 +43,21 @@
   EXPECT_GT(spread, 0);
 }
 
+// Hundreds of machines and arrays spread over all of them.
+TEST(Simulation, LargeFleetAndLongArrays) {
+  Options o;
+  o.seed = 5;
+  o.machines = 240;
+  o.capacity = 120;
+  o.largest_array = 900;
+  o.job_every_ms = 1000;
+  o.limit_cpus = 800;
+  const Result r = World(o).run();
+  EXPECT_TRUE(r.broken.empty()) << list(r.broken);
+  EXPECT_TRUE(r.unfinished.empty()) << list(r.unfinished);
+  EXPECT_GT(r.done, 40);
+}
+
 class Troubles : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(Troubles, RulesHoldAndEverythingEnds) {
