--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -212,5 +212,8 @@
 // ---- peers ----
 // Milliseconds between hints to the other controllers.
 constexpr std::int64_t kHintEveryMs = 500;
+// Milliseconds for which a peer must have said that the state service answers it while it does not
+// answer us, before we believe that we are refused alone: hints and probes take about one.
+constexpr std::int64_t kPeerWordMs = 1500;
 
 }  // namespace puffinhaven::core::constants
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -188,6 +188,15 @@
   return it;
 }
 
+// What we held for proven of a machine's tasks and have not recorded. Guards against a controller
+// back from a cut that frees what its count of a lease said, while the next owner kept that lease:
+// the task ran on, and was started elsewhere. The owner of now proves it again.
+void Controller::forget_proofs(const std::string& machine) {
+  for (const TaskRef& ref : replica_.placed_on(machine)) {
+    if (auto w = work_.find(ref.range); w != work_.end()) w->second.freed.erase(ref.index);
+  }
+}
+
 void Controller::on_view(Ms now) {
   const auto& view = replica_.view();
   if (view_known_ && view.epoch == known_epoch_) return;
@@ -204,6 +213,7 @@
   for (auto it = machines_.begin(); it != machines_.end();) {
     const bool ours =
         member && membership_.machine_owner(it->first, it->second.zone) == settings_.name;
+    if (!ours || skipped) forget_proofs(it->first);
     if (!ours) {
       it = machines_.erase(it);
       continue;
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -134,6 +134,7 @@
   void on_item(Ms now, const wire::StoredItem& item);
   void after_changes(Ms now);
   void on_view(Ms now);
+  void forget_proofs(const std::string& machine);
   std::map<std::string, Machine>::iterator own(Ms now, const std::string& id);
   void keep_membership(Ms now);
   void join(Ms now);
@@ -333,6 +334,7 @@
   struct PeerState {
     Ms heard_at = 0;
     bool state_answers = false;
+    Ms answers_since = 0;  // has said so since
     std::uint64_t epoch = 0;
   };
   std::map<std::string, PeerState> peers_;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -87,7 +87,9 @@
     for (const auto& [name, p] : peers_) {
       if (now - p.heard_at >= 2 * k::kStateSilentMs) continue;
       word = true;
-      if (p.state_answers) healthy = false;
+      // At the ends of an outage one notices before the other.
+      const Ms said = now - std::max(p.answers_since, store_.last_answer());
+      if (p.state_answers && said > k::kPeerWordMs) healthy = false;
     }
     if (!word && !settings_.peers.empty() && store_.silent(now)) healthy = false;
   }
--- a/src/core/machine_records.cpp
+++ b/src/core/machine_records.cpp
@@ -34,7 +34,7 @@
   m.standing = std::max(m.standing, standing);
   if (!group) return;  // the fleet's keeper records it first; then we are asked again
   PartWrite& w = part_writes_[*group];
-  const wire::PartRecord::Heard heard{m.address, m.session, m.standing};
+  const wire::PartRecord::Heard heard{m.address, m.session, m.standing, m.owner_since};
   auto [at, fresh] = w.pending.try_emplace(m.id, heard);
   if (!fresh && at->second == heard && w.due <= now + within) return;
   at->second = heard;
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -34,6 +34,7 @@
   if (!known) return;
   PeerState& p = peers_[hint.from];
   p.heard_at = now;
+  if (hint.state_answers && !p.state_answers) p.answers_since = now;
   p.state_answers = hint.state_answers;
   p.epoch = hint.epoch;
   newest_epoch_ = std::max(newest_epoch_, hint.epoch);
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -304,6 +304,9 @@
     changed = true;
   }
   if (!changed) return;
+  log(LogLevel::debug, "writing " + key + " stamp " + std::to_string(store_.version(key)) +
+                           " placing " + std::to_string(w.placing.size()) + " freed " +
+                           std::to_string(w.freed.size()));
   w.freed_since = 0;
   t.writes.push_back({key, encode(next), std::nullopt});
   t.urgent = spec.priority >= wire::Priority::high;
--- a/src/core/replica.cpp
+++ b/src/core/replica.cpp
@@ -200,10 +200,14 @@
   }
   wire::MachineRecord sum = fleet_.at(group->second).machines.at(id);
   if (auto heard = heard_.find(id); heard != heard_.end()) {
+    std::uint64_t newest = 0;
     for (const auto& [who, h] : heard->second) {
-      if (!h.address.empty() && (sum.address.empty() || h.session >= sum.session))
-        sum.address = h.address;
-      sum.session = std::max(sum.session, h.session);
+      if (h.epoch >= newest) {
+        // Not the highest session: a machine that has restarted counts from one again.
+        newest = h.epoch;
+        sum.session = h.session;
+        if (!h.address.empty()) sum.address = h.address;
+      }
       // A verdict is never taken back: sick, draining, lost, gone in this order.
       sum.standing = std::max(sum.standing, h.standing);
     }
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -199,6 +199,8 @@
   if (job == replica_.jobs().end() || !job->second.known || job->second.record.cancelled)
     return true;
   const auto& spec = job->second.record.spec;
+  // Placed in a session that is over with the machine's former life (restarted).
+  if (m.sequence > 0 && p.session > m.session) return true;
   if (auto h = m.halts.find({ref.range.job, ref.index});
       h != m.halts.end() && h->second.first == p.attempt)
     return true;
@@ -255,6 +257,9 @@
   Freed& f = work_[ref.range].freed[ref.index];
   if (f.attempt == attempt && f.done) return;
   f = {attempt, done};
+  log(LogLevel::debug, std::string(done ? "done: " : "free: ") +
+                           wire::task_name(ref.range.job, ref.index) + " try " +
+                           std::to_string(attempt));
   dirty_ = true;
 }
 
@@ -382,6 +387,8 @@
       gpus -= spec.gpus;
       memory -= spec.memory_gb;
       out.push_back({wire::CommandKind::start, task, p->attempt, 0});
+      log(LogLevel::debug, "starting " + wire::task_name(task.job, task.index) + " try " +
+                               std::to_string(p->attempt) + " on " + m.id);
       m.start_token = token(m);
       m.unseen_starts[task] = token(m);
     }
@@ -513,7 +520,8 @@
     const Count& zone = zones[m.zone];
     const bool few =
         all.good >= all.bad && (zone.good >= zone.bad || now - m.heard_at > k::kZoneCutPatienceMs);
-    if (gone || lease_over(now, m)) {
+    // Without the state service a newer view may exist in which another keeps the lease.
+    if (gone || (can_write(now) && lease_over(now, m))) {
       // Every task it had is gone, and a start that is still on its way names an older session.
       for (const TaskRef& ref : replica_.placed_on(id)) {
         const auto* p = replica_.placement(ref);
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -394,14 +394,16 @@
     put_text(w, m.address);
     w.Uint64(m.session);
     w.Uint(static_cast<unsigned>(m.standing));
+    w.Uint64(m.epoch);
   });
 }
 
 bool decode(std::string_view text, PartRecord& r) {
   return parse_machines(text, r, [](const Json& v, PartRecord::Heard& m) {
-    if (v.Size() < 3 || !v[0].IsString() || !v[1].IsUint64()) return false;
+    if (v.Size() < 4 || !v[0].IsString() || !v[1].IsUint64() || !v[3].IsUint64()) return false;
     m.address = v[0].GetString();
     m.session = v[1].GetUint64();
+    m.epoch = v[3].GetUint64();
     return standing_of(v[2], m.standing);
   });
 }
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -142,6 +142,7 @@
     std::string address;
     std::uint64_t session = 0;
     MachineStanding standing = MachineStanding::ready;
+    std::uint64_t epoch = 0;  // since when the machine was of this part; the newest entry counts
     bool operator==(const Heard&) const = default;
   };
   std::map<std::string, Heard> machines;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -30,6 +30,8 @@
   std::unique_ptr<core::Controller> controller;
   std::uint64_t generation = 0;
   bool refused_by_state = false, cut_from_workers = false, cut_from_state = false;
+  bool cut_from_peers = false;
+  Ms isolated_since = 0;
   std::map<std::uint64_t, std::pair<std::string, Respond>> asked;  // request -> path, answer
 };
 
@@ -58,6 +60,7 @@
   };
   std::string id, zone, address;
   bool spot = false, up = false, dead = false, hanging = false, sick = false;
+  Ms deaf_since = 0;
   std::uint64_t life = 1;
   std::uint64_t session = 1, sequence = 0, token = 0;
   Ms lease_from = 0, report_at = 0, waits_until = 0;
@@ -73,7 +76,7 @@
   double work_ms = 0;
   bool mistake = false;  // fails on every machine
   bool accepted = false, told_done = false, told_cancelled = false, asked_cancel = false;
-  Ms cancelled_at = 0, told_at = 0;
+  Ms cancelled_at = 0, told_at = 0, answered_at = 0;
   std::map<std::uint32_t, double> progress;  // saved, per task
   double gang_progress = 0;
   std::set<std::uint32_t> completed;
@@ -151,14 +154,24 @@
   for (Ms t = 500; t < options_.busy_ms;
        t += options_.job_every_ms / 2 + random(options_.job_every_ms))
     at(t, [this] { new_job(); });
+  for (const auto& p : options_.planned) at(p.at, [this, p] { trouble(p.kind, p.node, p.lasts); });
+  for (Ms t = 1000; t < end; t += 1000) at(t, [this] { probe_health(); });
   if (options_.troubles)
     for (Ms t = 6000; t < options_.busy_ms; t += 2500 + random(5000)) at(t, [this] { trouble(); });
   at(options_.busy_ms, [this] {
     calm_ = true;
     zones_apart_ = false;
     state_->outage = cloud_->outage = false;
-    for (auto& n : nodes_) n->refused_by_state = n->cut_from_state = n->cut_from_workers = false;
-    for (auto& [id, w] : workers_) w->hanging = w->sick = false;
+    for (auto& n : nodes_) {
+      n->refused_by_state = n->cut_from_state = n->cut_from_workers = n->cut_from_peers = false;
+      n->isolated_since = 0;
+    }
+    late_copies_until_ = 0;
+    for (auto& [id, w] : workers_) {
+      w->hanging = w->sick = false;
+      w->deaf_since = 0;
+    }
+    for (auto& [id, j] : jobs_) j.answered_at = now_;
     for (auto& [id, j] : jobs_)
       if (j.mistake) cancel(id, 0);
   });
@@ -204,7 +217,7 @@
   tick_node(i, n.generation);
 }
 
-void World::crash_node(std::size_t i) {
+void World::crash_node(std::size_t i, Ms away) {
   Node& n = *nodes_[i];
   if (!n.controller) return;
   ++n.generation;
@@ -212,7 +225,8 @@
   auto asked = std::move(n.asked);
   n.asked.clear();
   for (auto& [id, a] : asked) a.second(0, "");
-  at(now_ + (chance(0.2) ? 100 : 1500 + random(2000)), [this, i] { start_node(i); });
+  if (away == 0) away = chance(0.2) ? 100 : 1500 + random(2000);
+  at(now_ + away, [this, i] { start_node(i); });
 }
 
 void World::tick_node(std::size_t i, std::uint64_t generation) {
@@ -240,7 +254,9 @@
   for (const auto& c : out.calls) send(i, c);
   for (const auto& p : out.peers) {
     for (std::size_t j = 0; j < nodes_.size(); ++j) {
-      if (nodes_[j]->name != p.to || apart(n.zone, nodes_[j]->zone) || chance(0.05)) continue;
+      if (nodes_[j]->name != p.to || apart(n.zone, nodes_[j]->zone) || n.cut_from_peers ||
+          nodes_[j]->cut_from_peers || chance(0.05))
+        continue;
       // Some arrive minutes late.
       at(now_ + (chance(0.02) ? 20'000 : hop()), [this, j, bytes = p.bytes] {
         if (!nodes_[j]->controller) return;
@@ -269,7 +285,8 @@
     if (call.target == core::Target::state) return node.cut_from_state;
     if (call.target == core::Target::worker) {
       for (const auto& [id, w] : workers_)
-        if (w->address == call.address) return node.cut_from_workers || apart(node.zone, w->zone);
+        if (w->address == call.address)
+          return node.cut_from_workers || w->deaf_since != 0 || apart(node.zone, w->zone);
     }
     return false;
   };
@@ -308,7 +325,7 @@
   }
   if (call.target == core::Target::worker) {
     for (auto& [id, w] : workers_) {
-      if (w->address != call.address || !w->up || w->dead) continue;
+      if (w->address != call.address || !w->up || w->dead || w->deaf_since) continue;
       if (w->hanging) {  // executed when it resumes
         at(now_ + 500, [this, call, from, respond] { execute(call, from, respond); });
         return;
@@ -495,6 +512,14 @@
   const Ms sent = now_;
   const std::uint64_t session = w.session;
   const std::string id = w.id, body = worker_body(w);
+  if (now_ < late_copies_until_ && chance(0.3)) {
+    at(now_ + 1000 + random(24'000), [this, body] {
+      const auto i = static_cast<std::size_t>(random(3));
+      if (!nodes_[i]->controller) return;
+      nodes_[i]->controller->on_request(now_, next_request_++, {"POST", "/hello", body});
+      drain(i);
+    });
+  }
   at(now_ + hop(), [this, id, number, sent, session, body] {
     Worker& x = *workers_.at(id);
     ask_node(
@@ -504,6 +529,7 @@
           if (me.dead || number != me.report_number || !me.reporting) return;
           me.reporting = false;
           if (me.hanging) return;
+          if (me.deaf_since) status = 0;
           me.report_at = now_ + (me.changed ? 500 : 750 + random(500));
           me.changed = false;
           rapidjson::Document doc;
@@ -541,6 +567,7 @@
     if (verb == "start") {
       if (it != w.tasks.end() && it->second.attempt == attempt) continue;
       ++result_.starts;
+      if (w.deaf_since && now_ - w.deaf_since > 8000) ++result_.quarantined_starts;
       auto job = jobs_.find(task.job);
       Worker::Task t;
       t.attempt = attempt;
@@ -747,6 +774,13 @@
         broke("ran_cancelled", wire::task_name(task.job, task.index) + " on " + id);
     }
   }
+  if (calm_) {
+    for (auto& [id, j] : jobs_)
+      if (j.accepted && now_ - j.answered_at > 75'000) {
+        broke("forgotten", id + ": no question answered for 75 s");
+        j.answered_at = now_;
+      }
+  }
   for (const auto& t : settings_.teams)
     if (t.cpus_max > 0 && used[t.name] > t.cpus_max + 1e-6)
       broke("quota", t.name + " uses " + std::to_string(used[t.name]));
@@ -793,7 +827,7 @@
   if (kind == 4) s.zone = kZones[random(3)];
   if (s.gang && chance(0.4)) (chance(0.5) ? s.one_zone : s.spread) = true;
   s.spot = chance(0.6);
-  job.work_ms = 1000 + random(7000);
+  job.work_ms = 1000 + random((options_.longest_task_s - 1) * 1000);
   s.estimate_s = job.work_ms / 1000 * (0.5 + random(100) / 100.0);
   if (chance(0.4)) {
     s.checkpoint_s = 2;
@@ -824,6 +858,7 @@
              if (status == 200 || status == 201) {
                const bool first = !job.accepted;
                job.accepted = true;
+               job.answered_at = now_;
                rapidjson::Document doc;
                if (!wire::parse_object(body, doc)) return broke("answer", body);
                told(id, doc["status"].GetString(), asked);
@@ -847,6 +882,7 @@
              auto& job = jobs_.at(id);
              rapidjson::Document doc;
              if (status == 404) broke("forgotten", id);
+             if (status == 200) job.answered_at = now_;
              if (status == 200 && wire::parse_object(body, doc))
                told(id, doc["status"].GetString(), asked);
              const bool over = job.told_done || job.told_cancelled;
@@ -872,6 +908,12 @@
 // ---- troubles ----
 
 void World::trouble() {
+  const auto n = static_cast<std::size_t>(random(3));
+  const Ms lasts = chance(0.2) ? 10'000 + random(30'000) : 2000 + random(14'000);
+  trouble(static_cast<Trouble>(random(static_cast<int>(Trouble::count))), n, lasts);
+}
+
+void World::trouble(Trouble kind, std::size_t n, Ms lasts) {
   if (calm_) return;
   auto machine = [this]() -> Worker* {
     std::vector<Worker*> up;
@@ -879,52 +921,90 @@
       if (w->up && !w->dead) up.push_back(w.get());
     return up.empty() ? nullptr : up[static_cast<std::size_t>(random(static_cast<int>(up.size())))];
   };
-  const auto n = static_cast<std::size_t>(random(3));
-  const Ms lasts = 2000 + random(14'000);
-  const int kind = random(13);
-  trace("trouble " + std::to_string(kind) + " node " + std::to_string(n) + " for " +
-        std::to_string(lasts));
+  trace("trouble " + std::to_string(static_cast<int>(kind)) + " node " + std::to_string(n) +
+        " for " + std::to_string(lasts));
   switch (kind) {
-    case 0:
+    case Trouble::crash_one:
       crash_node(n);
       break;
-    case 1:
+    case Trouble::crash_all:
       for (std::size_t i = 0; i < 3; ++i) crash_node(i);
       break;
-    case 2:
+    case Trouble::quick_restart:
+      // Again while it joins.
+      crash_node(n, 30 + random(300));
+      at(now_ + 350 + random(500), [this, n] {
+        if (!calm_) crash_node(n, 30 + random(300));
+      });
+      break;
+    case Trouble::state_outage:
       state_->outage = true;
       at(now_ + lasts / 2, [this] {
         if (state_->outage)  // every lease has its full time again
           for (auto& [p, h] : state_->holds) h.first = now_ + h.second;
         state_->outage = false;
       });
-      if (chance(0.4)) crash_node(n);
+      if (options_.troubles && chance(0.4)) crash_node(n);
       break;
-    case 3:
+    case Trouble::state_refuses_one:
       nodes_[n]->refused_by_state = true;
       at(now_ + lasts, [this, n] { nodes_[n]->refused_by_state = false; });
       break;
-    case 4:
+    case Trouble::cut_from_state:
       nodes_[n]->cut_from_state = true;
       at(now_ + lasts, [this, n] { nodes_[n]->cut_from_state = false; });
       break;
-    case 5:
+    case Trouble::isolated:
+      nodes_[n]->cut_from_state = nodes_[n]->cut_from_peers = true;
+      nodes_[n]->isolated_since = now_;
+      at(now_ + lasts, [this, n] {
+        nodes_[n]->cut_from_state = nodes_[n]->cut_from_peers = false;
+        nodes_[n]->isolated_since = 0;
+      });
+      break;
+    case Trouble::cut_from_workers:
       nodes_[n]->cut_from_workers = true;
       at(now_ + lasts, [this, n] { nodes_[n]->cut_from_workers = false; });
       break;
-    case 6:
+    case Trouble::zones_apart:
       zones_apart_ = true;
       at(now_ + lasts, [this] { zones_apart_ = false; });
       break;
-    case 7:
-    case 8:
+    case Trouble::late_copies:
+      late_copies_until_ = now_ + lasts;
+      break;
+    case Trouble::machine_hangs:
       if (Worker* w = machine()) {
         w->hanging = true;
         w->reporting = false;
         at(now_ + lasts, [this, id = w->id] { workers_.at(id)->hanging = false; });
       }
       break;
-    case 9:
+    case Trouble::machine_deaf:
+      if (Worker* w = machine(); w && w->deaf_since == 0) {
+        w->deaf_since = now_;
+        at(now_ + lasts, [this, id = w->id] { workers_.at(id)->deaf_since = 0; });
+      }
+      break;
+    case Trouble::machine_restarts:
+      if (Worker* w = machine()) {
+        w->up = w->reporting = false;
+        w->tasks.clear();
+        w->session = 1;
+        w->sequence = w->token = 0;
+        ++w->report_number;
+        ++w->life;
+        at(now_ + 50 + random(600), [this, id = w->id] {
+          Worker& x = *workers_.at(id);
+          if (x.dead) return;
+          x.up = true;
+          x.lease_from = now_;
+          x.report_at = x.waits_until = now_;
+          worker_tick(id, x.life);
+        });
+      }
+      break;
+    case Trouble::machine_dies:
       if (Worker* w = machine()) {
         w->dead = true;
         w->tasks.clear();
@@ -934,17 +1014,31 @@
         });
       }
       break;
-    case 10:
+    case Trouble::machine_noticed:
       if (Worker* w = machine()) w->notice_ends = now_ + 2000 + random(3000);
       break;
-    case 11:
+    case Trouble::machine_sick:
       if (Worker* w = machine()) w->sick = true;
       break;
-    default:
+    case Trouble::cloud_outage:
+    case Trouble::count:
       cloud_->outage = true;
       at(now_ + lasts, [this] { cloud_->outage = false; });
       break;
   }
 }
 
+void World::probe_health() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const bool isolated = nodes_[i]->isolated_since && now_ - nodes_[i]->isolated_since > 10'000;
+    const bool outage = state_->outage;
+    if (!isolated && !outage) continue;
+    ask_node(i, {"GET", "/healthz", ""}, "", [this, isolated](int status, const std::string&) {
+      if (status == 0) return;
+      (isolated ? (status == 200 ? result_.isolated_healthy : result_.isolated_unhealthy)
+                : (status == 200 ? result_.outage_healthy : result_.outage_unhealthy)) += 1;
+    });
+  }
+}
+
 }  // namespace puffinhaven::sim
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -18,6 +18,34 @@
 
 namespace puffinhaven::sim {
 
+enum class Trouble : std::uint8_t {
+  crash_one,
+  crash_all,
+  state_outage,
+  state_refuses_one,
+  cut_from_state,
+  cut_from_workers,
+  zones_apart,
+  machine_hangs,
+  machine_dies,
+  machine_noticed,
+  machine_sick,
+  cloud_outage,
+  machine_deaf,      // its reports arrive; answers and commands do not reach it
+  late_copies,       // of reports, up to three leases late, to any controller
+  isolated,          // a controller has its workers, neither state service nor peers
+  quick_restart,     // of a controller, back within a fraction of a second, and once more
+  machine_restarts,  // with all counters low, within a fraction of a second
+  count
+};
+
+struct Planned {
+  Ms at = 0;
+  Trouble kind = Trouble::crash_one;
+  std::size_t node = 0;
+  Ms lasts = 0;
+};
+
 // What a run is like, and which of the world's own safeguards are taken out of it, to show that
 // the referee sees what they prevent.
 struct Options {
@@ -25,6 +53,9 @@
   Ms busy_ms = 90'000;   // troubles and new jobs
   Ms calm_ms = 240'000;  // everything works: all must come to an end
   bool troubles = true;
+  std::vector<Planned> planned;  // besides, or instead, of random ones
+  int longest_task_s = 8;
+  double overload = 0;     // extra jobs for each that is asked for, and large ones among them
   double limit_cpus = 40;  // of team "tight"
   double repeated = 0.02;  // share of requests of which a copy is executed again later
   // Size: machines at the start, what the cloud has of each zone and kind, the largest array, and
@@ -44,7 +75,10 @@
   std::vector<std::string> unfinished;  // jobs not over at the end
   int accepted = 0, done = 0, cancelled = 0, starts = 0, gangs_done = 0, spread_done = 0;
   int stopped_saved = 0;
-  std::uint64_t writes = 0;  // of the state service
+  std::uint64_t writes = 0;    // of the state service
+  int quarantined_starts = 0;  // on machines that had been deaf for longer than a lease
+  // Answers to /healthz of a controller isolated for over 10 s, and in an outage that all share.
+  int isolated_healthy = 0, isolated_unhealthy = 0, outage_healthy = 0, outage_unhealthy = 0;
 };
 
 class World {
@@ -67,7 +101,7 @@
   void broke(const std::string& rule, const std::string& what);
 
   void start_node(std::size_t i);
-  void crash_node(std::size_t i);
+  void crash_node(std::size_t i, Ms away = 0);  // 0: about what it takes
   void tick_node(std::size_t i, std::uint64_t generation);
   void drain(std::size_t i);
   void send(std::size_t i, const core::Call& call);
@@ -95,6 +129,8 @@
   void cancel(const std::string& id, int tries);
   void told(const std::string& id, const std::string& status, Ms asked);
   void trouble();
+  void trouble(Trouble kind, std::size_t node, Ms lasts);
+  void probe_health();
 
   Options options_;
   pcg32 random_;
@@ -118,6 +154,7 @@
   std::uint64_t next_request_ = 1;
   int next_job_ = 1, next_machine_ = 0;
   bool zones_apart_ = false;
+  Ms late_copies_until_ = 0;
   bool calm_ = false;
   Result result_;
 };
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -58,11 +58,77 @@
   EXPECT_GT(r.done, 40);
 }
 
+Options planned(std::uint64_t seed, std::vector<Planned> troubles) {
+  Options o;
+  o.seed = seed;
+  o.troubles = false;
+  o.longest_task_s = 30;
+  o.calm_ms = 700'000;
+  o.planned = std::move(troubles);
+  return o;
+}
+
+// A controller with workers and nothing else must send users elsewhere; in an outage that all share
+// nobody can serve better, so all stay.
+TEST(Simulation, HealthTellsIsolationFromOutage) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    const Result alone =
+        World(planned(seed, {{20'000, Trouble::isolated, seed % 3, 40'000}})).run();
+    EXPECT_TRUE(alone.broken.empty()) << list(alone.broken);
+    EXPECT_TRUE(alone.unfinished.empty()) << list(alone.unfinished);
+    EXPECT_EQ(alone.isolated_healthy, 0);
+    EXPECT_GT(alone.isolated_unhealthy, 10);
+    const Result all = World(planned(seed, {{20'000, Trouble::state_outage, 0, 60'000}})).run();
+    EXPECT_TRUE(all.broken.empty()) << list(all.broken);
+    EXPECT_EQ(all.outage_unhealthy, 0);
+    EXPECT_GT(all.outage_healthy, 40);
+  }
+}
+
+// Reports alone do not make a machine fit for work.
+TEST(Simulation, DeafMachinesGetNothingNew) {
+  int deaf_starts = 0, starts = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    std::vector<Planned> plan;
+    for (Ms at = 10'000; at < 60'000; at += 6000)
+      plan.push_back({at, Trouble::machine_deaf, 0, 40'000});
+    const Result r = World(planned(seed, plan)).run();
+    EXPECT_TRUE(r.broken.empty()) << list(r.broken);
+    EXPECT_TRUE(r.unfinished.empty()) << list(r.unfinished);
+    deaf_starts += r.quarantined_starts;
+    starts += r.starts;
+  }
+  EXPECT_EQ(deaf_starts, 0);
+  EXPECT_GT(starts, 100);
+}
+
+// Copies of reports up to three leases old reach any controller, while machines come back with low
+// counters and controllers come back at once.
+TEST(Simulation, LateCopiesAndQuickRestarts) {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    std::vector<Planned> plan;
+    for (Ms at = 8'000; at < 80'000; at += 9'000) {
+      plan.push_back({at, Trouble::late_copies, 0, 9'000});
+      plan.push_back({at + 2000, Trouble::machine_restarts, 0, 0});
+      plan.push_back({at + 4000, Trouble::quick_restart, seed % 3, 0});
+      if (at % 2 == 0) plan.push_back({at + 6000, Trouble::machine_dies, 0, 0});
+    }
+    const Result r = World(planned(seed, plan)).run();
+    EXPECT_TRUE(r.broken.empty()) << list(r.broken);
+    EXPECT_TRUE(r.unfinished.empty()) << list(r.unfinished);
+  }
+}
+
 class Troubles : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(Troubles, RulesHoldAndEverythingEnds) {
   Options o;
   o.seed = GetParam();
+  // Tasks longer than the lease, in some: what goes wrong with leases shows on those.
+  if (o.seed % 4 == 0) {
+    o.longest_task_s = 30;
+    o.calm_ms = 700'000;
+  }
   if (const char* t = std::getenv("SIM_TRACE")) o.trace = t;
   const Result r = World(o).run();
   EXPECT_TRUE(r.broken.empty()) << list(r.broken);
