--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -23,12 +23,19 @@
 constexpr std::size_t kRangesPerJob = 48;
 // Tasks that go to one part together when a job is divided, so that a small job has few records,
 // and steps of a large one at most.
-constexpr std::uint32_t kTasksPerStep = 16;
+constexpr std::uint32_t kTasksPerStep = 64;
 constexpr std::uint32_t kStepsPerJob = 256;
 // Milliseconds within which the ends of tasks are recorded, and for which they are at least
 // gathered: records of a hundred tasks each would otherwise be written at every end.
-constexpr std::int64_t kDoneWithinMs = 4000;
-constexpr std::int64_t kDoneGatherMs = 500;
+constexpr std::int64_t kEndsWithinMs = 4000;
+constexpr std::int64_t kEndsGatherMs = 500;
+// Writes that may wait for the state service before scheduling asks for more (high work excepted):
+// about a second's share of the rate.
+constexpr int kWritesQueued = 16;
+// Unstarted tasks from which on another part takes a range soon, and milliseconds after which it
+// takes fewer.
+constexpr std::size_t kTakeAtLeast = 8;
+constexpr std::int64_t kTakeFewAfterMs = 3000;
 // Machines drawn to find the one where making room loses least.
 constexpr int kRoomSamples = 12;
 // Seconds after which a job that has nothing started goes before all others with its first tasks,
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -226,8 +226,10 @@
                    const Urgency& urgency);
   // Zones that the next task of the job may go to, of those of the pool.
   std::set<std::string> zones_open(const Pass& pass, const Job& job) const;
-  void assign(Pass& pass, RangeWork& work, const RangeId& id, const Job& job, std::uint32_t task,
+  void assign(Pass& pass, RangeWork& work, const Job& job, std::uint32_t task,
               std::uint64_t attempt, int machine, bool booked);
+  bool freed(const TaskRef& ref, std::uint64_t attempt) const;
+  static std::size_t open_tasks(const RangeWork& work, const wire::RangeRecord& range);
   void drop_placing(RangeWork& work, std::size_t count);
   void clear_placing(RangeWork& work);
   bool unstarted(const RangeWork& work, const wire::RangeRecord& range, std::uint32_t task) const;
@@ -248,7 +250,8 @@
   void take_ranges(Ms now, Pass& pass);
   double room_for(Pass& pass, const wire::JobSpec& spec) const;
   void write_taken(const RangeId& from, std::uint32_t first, const RangeId& to);
-  bool pressing(Ms now, const RangeId& id, RangeWork& w) const;
+  bool completes(const RangeId& id, const RangeWork& w) const;
+  bool pressing(Ms now, const RangeId& id, RangeWork& w, bool room) const;
   void write_range(const RangeId& id);
 
   // ---- grants.cpp ----
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -44,7 +44,7 @@
       const std::vector<int> chosen = hold_gang(pass, spec, foreign, only);
       if (chosen.empty()) continue;
       for (std::uint32_t task = 0; task < spec.tasks; ++task)
-        assign(pass, w, id, job, range.begin + task, range.next_attempt, chosen[task], true);
+        assign(pass, w, job, range.begin + task, range.next_attempt, chosen[task], true);
       return;
     }
   }
--- a/src/core/pass.h
+++ b/src/core/pass.h
@@ -3,7 +3,6 @@
 
 #include <deque>
 #include <map>
-#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -18,7 +17,7 @@
   std::deque<Candidate> foreign;  // what `pool` points to for machines of other parts
   bool foreign_added = false;
   int left = 0;
-  std::set<RangeId> changed;
+  int writes = 0;                                         // that may still be asked for
   std::map<std::string, wire::QuotaRecord::Amount> used;  // of our grants, by team
   std::map<std::string, Usage> team_usage;                // of all parts, as of the pass's start
   std::vector<const wire::JobSpec*> failed;               // shapes that found no room
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -123,7 +123,10 @@
       RangeWork& w = work_[range];
       if (w.first_seen == 0) w.first_seen = now;
       if (w.busy || !w.freed.empty() || now < w.retry_at) continue;
-      if (now - w.first_seen < k::kTakeOverAfterMs) {
+      // A few tasks are left to their owner for longer: each taking makes one more record.
+      const std::size_t waits = (r.end - r.begin) - r.placed.size() - r.done_count();
+      const Ms patience = waits < k::kTakeAtLeast ? k::kTakeFewAfterMs : k::kTakeOverAfterMs;
+      if (now - w.first_seen < patience) {
         dirty_ = true;
         continue;
       }
@@ -205,23 +208,31 @@
   store_.submit(std::move(t));
 }
 
-// Whether the range's changes are to be written now. That tasks are done can wait a little, to be
-// written together: their room is free already, and their machines list them until it is recorded.
-bool Controller::pressing(Ms now, const RangeId& id, RangeWork& w) const {
+// With what is proven, every task of the range is done.
+bool Controller::completes(const RangeId& id, const RangeWork& w) const {
+  if (w.freed.empty()) return false;
+  const auto* range = replica_.range(id);
+  if (!range) return false;
+  const auto done = static_cast<std::size_t>(
+      std::count_if(w.freed.begin(), w.freed.end(), [](const auto& f) { return f.second.done; }));
+  return range->done_count() + done >= range->end - range->begin;
+}
+
+// Whether the range's changes are to be written now; `room`: writes can still be asked for. That
+// tasks ended can wait a little, to be written together: their room is free already, and their
+// machines list them until it is recorded.
+bool Controller::pressing(Ms now, const RangeId& id, RangeWork& w, bool room) const {
   if (!w.placing.empty() || w.want_stop || w.uncertain) return true;
   if (w.freed.empty()) {
     w.freed_since = 0;
     return false;
   }
   if (w.freed_since == 0) w.freed_since = now;
-  const auto* range = replica_.range(id);
   const Job* job = replica_.job(id.job);
-  if (!range || !job || job->record.cancelled || job->record.spec.gang) return true;
-  if (std::any_of(w.freed.begin(), w.freed.end(), [](const auto& f) { return !f.second.done; }))
-    return true;
-  if (range->done_count() + w.freed.size() >= range->end - range->begin) return true;
+  if (!job || job->record.cancelled || job->record.spec.gang) return true;
   const Ms waited = now - w.freed_since;
-  return waited >= k::kDoneWithinMs || (waited >= k::kDoneGatherMs && store_.spare(now));
+  return (waited >= k::kEndsWithinMs && room) || waited >= 3 * k::kEndsWithinMs ||
+         (waited >= k::kEndsGatherMs && store_.spare(now));
 }
 
 void Controller::write_range(const RangeId& id) {
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -49,6 +49,7 @@
     auto seen = m.tasks.find(task);
     const bool listed = seen != m.tasks.end() && seen->second.attempt == p->attempt;
     if (listed && seen->second.state == wire::TaskState::exited) continue;
+    if (freed(ref, p->attempt)) continue;
     // What is being stopped to make room counts as gone; starts wait until it is.
     if (auto h = m.halts.find(task); h != m.halts.end() && h->second.first == p->attempt) continue;
     const auto& spec = job->second.record.spec;
@@ -106,14 +107,35 @@
   }
 }
 
+bool Controller::freed(const TaskRef& ref, std::uint64_t attempt) const {
+  auto w = work_.find(ref.range);
+  if (w == work_.end()) return false;
+  auto f = w->second.freed.find(ref.index);
+  return f != w->second.freed.end() && f->second.attempt == attempt;
+}
+
+// What is proven gone, though not recorded yet, is recorded together with its next placement.
 bool Controller::unstarted(const RangeWork& work, const wire::RangeRecord& range,
                            std::uint32_t task) const {
-  return !range.done[task - range.begin] && !range.placed.contains(task) &&
-         !work.placing.contains(task);
+  if (range.done[task - range.begin] || work.placing.contains(task)) return false;
+  auto p = range.placed.find(task);
+  if (p == range.placed.end()) return true;
+  auto f = work.freed.find(task);
+  return !range.stopping && f != work.freed.end() && !f->second.done &&
+         f->second.attempt == p->second.attempt;
+}
+
+// Tasks of the range that could be placed now.
+std::size_t Controller::open_tasks(const RangeWork& work, const wire::RangeRecord& range) {
+  const std::size_t held = range.placed.size() + range.done_count();
+  const auto lost = static_cast<std::size_t>(std::count_if(
+      work.freed.begin(), work.freed.end(), [](const auto& f) { return !f.second.done; }));
+  const std::size_t all = range.end - range.begin;
+  return std::min(all, all - std::min(all, held) + lost);
 }
 
-void Controller::assign(Pass& pass, RangeWork& work, const RangeId& id, const Job& job,
-                        std::uint32_t task, std::uint64_t attempt, int machine, bool booked) {
+void Controller::assign(Pass& pass, RangeWork& work, const Job& job, std::uint32_t task,
+                        std::uint64_t attempt, int machine, bool booked) {
   Candidate& c = *pass.pool[static_cast<std::size_t>(machine)];
   const auto& spec = job.record.spec;
   work.placing[task] = {attempt, c.id, c.session, settings_.name};
@@ -130,7 +152,6 @@
   used.cpus += spec.cpus;
   used.gpus += spec.gpus;
   --pass.left;
-  pass.changed.insert(id);
 }
 
 // Takes the last `count` choices back.
@@ -190,8 +211,18 @@
   Pass pass;
   pass.now = now;
   pass.left = k::kPlacementsPerPass;
+  // Few writes wait at once: which work goes next is decided when it can be written, not before a
+  // queue of seconds, and what gathers meanwhile goes in one write.
+  pass.writes = k::kWritesQueued - static_cast<int>(store_.queued());
   for (const auto& [id, m] : machines_)
     if (usable(now, m)) pass.pool.push_back(&candidate(now, m));
+  auto write = [&](const RangeId& id) {
+    write_range(id);
+    --pass.writes;
+  };
+  // Ends of ranges first: users wait for them.
+  for (auto& [id, w] : work_)
+    if (!w.busy && now >= w.retry_at && completes(id, w)) write(id);
   struct Entry {
     RangeId id;
     const Job* job;
@@ -200,14 +231,13 @@
   };
   std::vector<Entry> entries;
   for (const auto& [id, job] : replica_.jobs()) {
-    if (!job.known || job.record.cancelled) continue;
-    if (job.done_tasks() + job.placed_tasks() >= job.record.spec.tasks) continue;
+    if (!job.known || job.record.cancelled || job.done_tasks() >= job.record.spec.tasks) continue;
     std::optional<Urgency> urgency;
     for (const auto& [number, r] : job.ranges) {
       const RangeId range{id, number};
-      if (r.placed.size() + r.done_count() >= r.end - r.begin) continue;
       if (membership_.range_owner(wire::range_key(id, number), r.owner) != settings_.name) continue;
       RangeWork& w = work_[range];
+      if (open_tasks(w, r) == 0) continue;
       if (w.first_seen == 0) w.first_seen = now;
       if (!urgency) urgency = urgency_of(now, job);
       entries.push_back({range, &job, &r, *urgency});
@@ -225,17 +255,21 @@
     }
     RangeWork& w = work_[e.id];
     if (w.busy || w.uncertain || now < w.retry_at || health_.not_before(e.id.job) > now) continue;
+    if (pass.writes <= 0 && e.job->record.spec.priority < wire::Priority::high) {
+      dirty_ = true;
+      continue;
+    }
     if (e.job->record.spec.gang) {
       place_gang(pass, e.id, *e.job, *e.range);
     } else {
       place_array(pass, e.id, *e.job, *e.range, e.urgency);
     }
+    if (!w.placing.empty()) write(e.id);
   }
-  take_ranges(now, pass);
+  if (pass.writes > 0) take_ranges(now, pass);
   for (auto& [id, w] : work_) {
-    if (!w.busy && now >= w.retry_at && pressing(now, id, w)) pass.changed.insert(id);
+    if (!w.busy && now >= w.retry_at && pressing(now, id, w, pass.writes > 0)) write(id);
   }
-  for (const auto& id : pass.changed) write_range(id);
   std::erase_if(work_,
                 [this](const auto& w) { return !w.second.busy && !replica_.range(w.first); });
   store_.tick(now);
@@ -324,7 +358,7 @@
       if (!zoned) pass.failed.push_back(&spec);
       break;
     }
-    assign(pass, w, id, job, task, range.next_attempt, chosen, false);
+    assign(pass, w, job, task, range.next_attempt, chosen, false);
   }
   if (waiting > 0) {
     auto& need = quota_need_[spec.team];
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,7 +3,6 @@
 #include <http_parser.h>
 
 #include <algorithm>
-#include <array>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <chrono>
@@ -54,6 +53,7 @@
       }
       std::error_code ignored;
       self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->socket_.non_blocking(true, ignored);
       self->read();
       self->write();
     });
@@ -84,18 +84,34 @@
   }
 
   void write() {
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this()](std::error_code error, std::size_t) {
-                        if (error) self->fail();
+    std::error_code error;
+    const std::size_t n = socket_.write_some(asio::buffer(out_), error);
+    if (!error && n == out_.size()) return;
+    if (error && error != asio::error::would_block) {
+      // Not from within the caller.
+      asio::post(client_.io_, [self = shared_from_this(), turn = turn_] {
+        if (turn == self->turn_) self->fail();
+      });
+      return;
+    }
+    asio::async_write(socket_, asio::buffer(out_) + n,
+                      [self = shared_from_this()](std::error_code failed, std::size_t) {
+                        if (failed) self->fail();
                       });
   }
 
-  // Always reading, also while idle: so the other side's close is seen before the next use.
+  // Always waiting to read, also while idle: so the other side's close is seen before the next use.
   void read() {
-    socket_.async_read_some(asio::buffer(buffer_),
-                            [self = shared_from_this()](std::error_code error, std::size_t n) {
-                              self->take(error, n);
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+      if (self->closed_) return;
+      std::size_t n = 0;
+      if (!error) n = self->socket_.read_some(asio::buffer(self->client_.buffer_), error);
+      if (error == asio::error::would_block) {
+        self->read();
+        return;
+      }
+      self->take(error, n);
+    });
   }
 
   void take(std::error_code error, std::size_t n) {
@@ -111,7 +127,7 @@
         return;
       }
     } else {
-      http_parser_execute(&parser_, &settings(), buffer_.data(), n);
+      http_parser_execute(&parser_, &settings(), client_.buffer_.data(), n);
       if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || parser_.upgrade) {
         fail();
         return;
@@ -163,7 +179,6 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   http_parser parser_{};
-  std::array<char, limits::kReadBytes> buffer_{};
   std::string out_, body_;
   int status_ = 0;
   bool complete_ = false, closed_ = false;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 client with kept connections and one deadline per request.
 #pragma once
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -11,6 +12,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "net/limits.h"
+
 namespace puffinhaven::net {
 
 class HttpClient {
@@ -31,6 +34,7 @@
   class Connection;
   void sweep();
   asio::io_context& io_;
+  std::array<char, limits::kReadBytes> buffer_{};  // for whichever connection reads
   asio::steady_timer sweeper_;
   std::size_t most_kept_, kept_ = 0;
   std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> idle_;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,7 +2,7 @@
 
 #include <http_parser.h>
 
-#include <array>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <chrono>
 #include <vector>
@@ -65,17 +65,28 @@
     parser_.data = this;
   }
 
+  // Waits until there is something and then reads it: reading at once would cost a call that finds
+  // nothing, for every request.
   void read() {
-    socket_.async_read_some(asio::buffer(buffer_),
-                            [self = shared_from_this()](std::error_code error, std::size_t n) {
-                              if (error) {
-                                self->close();
-                                return;
-                              }
-                              self->active_ = Clock::now();
-                              self->pending_.append(self->buffer_.data(), n);
-                              self->parse();
-                            });
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+      if (error || self->closed_) {
+        self->close();
+        return;
+      }
+      std::error_code failed;
+      const std::size_t n = self->socket_.read_some(asio::buffer(self->server_.buffer_), failed);
+      if (failed == asio::error::would_block) {
+        self->read();
+        return;
+      }
+      if (failed || n == 0) {
+        self->close();
+        return;
+      }
+      self->active_ = Clock::now();
+      self->pending_.append(self->server_.buffer_.data(), n);
+      self->parse();
+    });
   }
 
   void answer(int status, const std::string& body, int retry_after_s) {
@@ -182,23 +193,44 @@
 
   void send(int status, const std::string& body, int retry_after_s, bool close_after) {
     out_ = head(status, body.size(), retry_after_s, close_after) + body;
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this(), close_after](std::error_code error, std::size_t) {
-                        if (error || close_after) {
-                          self->close();
-                          return;
-                        }
-                        self->active_ = Clock::now();
-                        // Bytes that came meanwhile, if any, else more from the socket.
-                        self->pending_.empty() ? self->read() : self->parse();
-                      });
+    // Nearly always all of it goes out at once.
+    std::error_code error;
+    const std::size_t n = socket_.write_some(asio::buffer(out_), error);
+    if (error && error != asio::error::would_block) {
+      close();
+      return;
+    }
+    if (!error && n == out_.size()) {
+      sent(close_after);
+      return;
+    }
+    asio::async_write(
+        socket_, asio::buffer(out_) + n,
+        [self = shared_from_this(), close_after](std::error_code failed, std::size_t) {
+          failed ? self->close() : self->sent(close_after);
+        });
+  }
+
+  void sent(bool close_after) {
+    if (close_after) {
+      close();
+      return;
+    }
+    active_ = Clock::now();
+    if (pending_.empty()) {
+      read();
+      return;
+    }
+    // Bytes that came meanwhile; later, so that a caller who sends many at once takes no stack.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      if (!self->closed_) self->parse();
+    });
   }
 
   HttpServer& server_;
   std::uint64_t id_;
   tcp::socket socket_;
   http_parser parser_{};
-  std::array<char, limits::kReadBytes> buffer_{};
   std::string pending_, out_;
   Request message_;
   std::size_t header_bytes_ = 0;
@@ -253,6 +285,7 @@
     }
     std::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
     const std::uint64_t id = next_++;
     auto connection = std::make_shared<Connection>(*this, id, std::move(socket));
     connections_[id] = connection;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 server for users, workers and health checks.
 #pragma once
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -11,6 +12,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "net/limits.h"
+
 namespace puffinhaven::net {
 
 class HttpServer {
@@ -40,6 +43,7 @@
   asio::steady_timer accept_pause_;
   int max_connections_;
   Handler handler_;
+  std::array<char, limits::kReadBytes> buffer_{};  // for whichever connection reads
   std::uint64_t next_ = 1;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> connections_;
   std::unordered_map<std::uint64_t, std::uint64_t> requests_;  // request -> connection
