--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -7,15 +7,8 @@
 namespace puffinhaven::core::constants {
 
 // ---- placement (docs/design.md) ----
-// Machines sampled per task. The paper's default is 2; with hundreds of machines, of which a few
-// have the task's image and some may be taken back, more find them (docs/design.md).
-constexpr int kSampledMachines = 8;
-// Share of what a task would lose that a spot machine adds to its predicted finish; seconds at
-// stake from which on a task has much to lose; seconds that an ordinary machine adds for those
-// below.
-constexpr double kSpotRisk = 0.1;
-constexpr double kMuchToLoseS = 30.0;
-constexpr double kKeepOrdinaryS = 1.0;
+// Machines sampled per task. The paper's default; eight changed nothing (docs/results.md).
+constexpr int kSampledMachines = 2;
 // Seconds in which an overrunning task is counted as ending; the design's starting value.
 constexpr double kOverrunAllowanceS = 10.0;
 // Tasks placed in one scheduling pass; bounds the time of a pass on a small processor share.
@@ -63,6 +56,8 @@
 // Report intervals without a report after which a machine gets nothing new; reports come at up to
 // 1.25 intervals, so this allows one to be lost.
 constexpr double kSilentIntervals = 2.6;
+// Report intervals without a report after which it is asked directly; just above the longest.
+constexpr double kQuietIntervals = 1.4;
 // Tasks of one range record; the bitmap then takes 2 KiB of the value as hexadecimal digits.
 constexpr std::uint32_t kTasksPerRange = 8192;
 // Bytes that a placement usually takes of a range record when each is on a machine of its own.
@@ -155,8 +150,12 @@
 constexpr std::int64_t kOrdersTimeoutMs = 1500;
 // Commands in one message to a worker; keeps any body far below 64 KiB.
 constexpr std::size_t kCommandsPerMessage = 200;
-// Direct commands that a silent machine leaves unanswered before it is returned to the cloud.
-constexpr int kProbesBeforeReturn = 1;
+// Direct messages that a machine without reports leaves unanswered before it is returned; one is
+// enough once it counts as silent.
+constexpr int kProbesBeforeReturn = 2;
+// Estimated seconds of high-priority tasks that are begun again rather than waited for when their
+// zone is cut off; cuts last about a minute.
+constexpr double kHurryS = 30.0;
 // Milliseconds between direct messages to a machine that does not answer them.
 constexpr std::int64_t kOrdersRetryMs = 1000;
 
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -192,6 +192,8 @@
   bool usable(Ms now, const Machine& m) const;
   bool others_yielded(std::uint64_t epoch) const;
   Ms silent_after() const;
+  Ms quiet_after() const;
+  bool hurries(const Machine& m) const;
 
   // ---- machine_records.cpp ----
   // What this controller wants recorded of machines of one group; written together.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -86,15 +86,7 @@
   const bool has_image =
       std::find(machine.images.begin(), machine.images.end(), job.image) != machine.images.end();
   const double fetch = has_image ? 0.0 : job.image_gb / std::max(0.01, machine.fetch_gb_per_s);
-  return wait + fetch + job.estimate_s + risk_s(machine.spot, job);
-}
-
-double risk_s(bool spot, const wire::JobSpec& job) {
-  const bool saves = job.checkpoint_s > 0 && job.checkpoint_s < job.estimate_s;
-  const double at_stake = saves ? job.checkpoint_s : job.estimate_s;
-  if (spot) return at_stake * constants::kSpotRisk;
-  // Ordinary room is kept for those who would lose much.
-  return job.spot && at_stake < constants::kMuchToLoseS ? constants::kKeepOrdinaryS : 0.0;
+  return wait + fetch + job.estimate_s;
 }
 
 int choose(Ms now, const std::vector<Candidate*>& machines, const wire::JobSpec& job,
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -45,12 +45,7 @@
 // within the allowance.
 double remaining_s(Ms now, Ms ends_at);
 
-// Seconds by which a spot machine's being taken away is expected to delay the task; and, for tasks
-// that would lose little, what an ordinary machine is worth to others.
-double risk_s(bool spot, const wire::JobSpec& job);
-
-// Predicted finish, seconds from now: the wait until room frees, the image fetch, the estimate, the
-// risk.
+// Predicted finish, seconds from now: the wait until room frees, the image fetch, the estimate.
 double predict(Ms now, const Candidate& machine, const wire::JobSpec& job);
 
 // Index of the machine that takes the task now, or -1 when it has to wait: the lower prediction of
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -15,6 +15,19 @@
 
 Ms Controller::silent_after() const { return ms(settings_.report_s * k::kSilentIntervals); }
 
+Ms Controller::quiet_after() const { return ms(settings_.report_s * k::kQuietIntervals); }
+
+// All that it runs is short and must be done soon: it is sooner begun again elsewhere than heard of
+// when a cut is over.
+bool Controller::hurries(const Machine& m) const {
+  const auto& tasks = replica_.placed_on(m.id);
+  return std::all_of(tasks.begin(), tasks.end(), [this](const TaskRef& ref) {
+    const Job* job = replica_.job(ref.range.job);
+    return job && job->record.spec.priority >= wire::Priority::high &&
+           job->record.spec.estimate_s <= k::kHurryS;
+  });
+}
+
 bool Controller::usable(Ms now, const Machine& m) const {
   return m.recorded && m.standing == wire::MachineStanding::ready && m.sequence > 0 && m.touched &&
          m.unreached_since == 0 && !m.notice && now - m.heard_at < silent_after() &&
@@ -504,7 +517,7 @@
   Count all;
   std::map<std::string, Count> zones;
   auto bad = [&](const Machine& m) {
-    return now - m.heard_at > silent_after() ||
+    return now - m.heard_at > quiet_after() ||
            (m.unreached_since != 0 && now - m.unreached_since > silent_after());
   };
   for (const auto& [id, m] : machines_) {
@@ -551,8 +564,11 @@
     }
     // Silent to reports and to a direct command while others are heard: most likely dead, hanging
     // or taken. Returning it proves its tasks gone sooner than its lease does.
-    if (m.orders_failed >= k::kProbesBeforeReturn && now - m.heard_at > silent_after() && few &&
-        ready && !replica_.placed_on(id).empty()) {
+    const Ms quiet = now - m.heard_at;
+    const bool dead = (m.orders_failed >= k::kProbesBeforeReturn && quiet > quiet_after()) ||
+                      (m.orders_failed > 0 && quiet > silent_after());
+    if (dead && ready && !replica_.placed_on(id).empty() &&
+        (few || (all.good >= all.bad && hurries(m)))) {
       log(LogLevel::info, "machine " + id + " is silent; returning it");
       note_machine(now, m, wire::MachineStanding::lost, 0);
     }
@@ -578,8 +594,8 @@
         m.candidate_known = false;
       }
     }
-    const bool idle_probe = now - m.heard_at > silent_after() && now >= m.orders_after &&
-                            !replica_.placed_on(id).empty();
+    const bool idle_probe =
+        quiet > quiet_after() && now >= m.orders_after && !replica_.placed_on(id).empty();
     if (m.kick_again || now >= m.orders_after) kick(now, m, idle_probe);
   }
 }
