--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -36,8 +36,12 @@
 // takes fewer.
 constexpr std::size_t kTakeAtLeast = 8;
 constexpr std::int64_t kTakeFewAfterMs = 3000;
+// Seconds left to start a task in time below which others lose their work for it, and seconds of
+// work that are little to lose at any time.
+constexpr double kPressedS = 6.0;
+constexpr double kLittleLostS = 5.0;
 // Machines drawn to find the one where making room loses least.
-constexpr int kRoomSamples = 12;
+constexpr int kRoomSamples = 20;
 // Seconds after which a job that has nothing started goes before all others with its first tasks,
 // and how many in each range. The largest must begin within 240 s (four minutes); starts take
 // seconds, but more than one such job may be due at once.
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -219,6 +219,8 @@
     auto operator<=>(const Urgency&) const = default;
   };
   Urgency urgency_of(Ms now, const Job& job) const;
+  // Little time is left to start its tasks for the next aim of its class.
+  bool pressed(Ms now, const Job& job) const;
   void schedule(Ms now);
   Candidate& candidate(Ms now, const Machine& m) const;
   Candidate foreign_candidate(Ms now, const std::string& id,
@@ -244,7 +246,7 @@
                              const std::string& only);
 
   // ---- room.cpp ----
-  int make_room(Pass& pass, const wire::JobSpec& spec);
+  int make_room(Pass& pass, const wire::JobSpec& spec, bool pressed);
 
   // ---- ranges.cpp ----
   std::size_t placed_most(std::uint32_t tasks) const;
--- a/src/core/room.cpp
+++ b/src/core/room.cpp
@@ -13,7 +13,7 @@
 // Stops what may be stopped for this task on the machine where that loses least; returns the
 // machine, with its room counted as free, or -1. A few machines are drawn instead of searching all:
 // the cost must not grow with the fleet, and the least loss among some is nearly the least of all.
-int Controller::make_room(Pass& pass, const wire::JobSpec& spec) {
+int Controller::make_room(Pass& pass, const wire::JobSpec& spec, bool pressed) {
   const Ms now = pass.now;
   // A team that stays within its guarantee need not wait for what another runs beyond its own.
   auto within = [this, &pass](const std::string& name, const wire::JobSpec& more) {
@@ -74,6 +74,9 @@
       // costs more than it brings (docs/design.md).
       if (spec.priority < wire::Priority::high && v.estimate_s - ran < k::kLongVictimS) continue;
       const bool saves = v.checkpoint_s > 0 && v.save_s + 1.0 < wait_aim_s / 2;
+      // Whole machines come free by themselves every second; what would be lost for one outweighs
+      // the waiting until little time is left (docs/results.md, round 7).
+      if (!pressed && v.checkpoint_s <= 0 && ran > k::kLittleLostS) continue;
       const double lost =
           v.checkpoint_s > 0 ? (saves ? v.save_s : std::min(ran, v.checkpoint_s / 2)) : ran;
       victims.push_back({task, p->attempt, saves ? v.save_s : 0.0, (lost + 1.0) * v.cpus, &v});
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -204,6 +204,22 @@
   return u;
 }
 
+bool Controller::pressed(Ms now, const Job& job) const {
+  const auto& spec = job.record.spec;
+  const double age = static_cast<double>(now + wall_offset_ - job.record.submitted_ms) / 1000.0;
+  double left = 1e9;
+  for (const auto& o : settings_.objectives) {
+    if (o.job_class != spec.job_class) continue;
+    double start_by = 1e9;
+    if (o.kind == "wait") start_by = o.within_s;
+    if (o.kind == "deadline" && spec.deadline_s)
+      start_by = *spec.deadline_s * o.times - spec.estimate_s;
+    if (o.kind == "finished") start_by = o.within_s - spec.estimate_s;
+    if (start_by > age) left = std::min(left, start_by - age);
+  }
+  return left < k::kPressedS;
+}
+
 void Controller::schedule(Ms now) {
   dirty_ = false;
   schedule_after_ = now + k::kPassEveryMs;
@@ -351,7 +367,7 @@
       chosen = choose(pass.now, pass.pool, spec, eligible, random_);
     }
     // What can meet no aim any more waits for room instead of making others late.
-    if (chosen < 0 && !urgency.hopeless) chosen = make_room(pass, spec);
+    if (chosen < 0 && !urgency.hopeless) chosen = make_room(pass, spec, pressed(pass.now, job));
     if (chosen >= 0 && zoned && !open.contains(pass.pool[static_cast<std::size_t>(chosen)]->zone))
       chosen = -1;
     if (chosen < 0) {
