--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -42,6 +42,10 @@
 constexpr double kLittleLostS = 5.0;
 // Machines drawn to find the one where making room loses least.
 constexpr int kRoomSamples = 20;
+// Seconds from which on a job is old, whatever its aims, and the share of a part's CPUs that old
+// jobs have before all others.
+constexpr double kOldJobS = 180.0;
+constexpr double kOldShare = 0.25;
 // Seconds after which a job that has nothing started goes before all others with its first tasks,
 // and how many in each range. The largest must begin within 240 s (four minutes); starts take
 // seconds, but more than one such job may be due at once.
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -212,12 +212,13 @@
   struct Pass;  // pass.h
   // Order of scheduling, smallest first.
   struct Urgency {
-    bool begun = true;
+    bool begun = true;      // false: goes before all others with a few tasks
     bool hopeless = false;  // meets none of its class's aims any more
     int priority = 0;       // negated: high first
     double left = 0;        // work, in CPU seconds by the estimate
     auto operator<=>(const Urgency&) const = default;
   };
+  double age_s(Ms now, const Job& job) const;
   Urgency urgency_of(Ms now, const Job& job) const;
   // Little time is left to start its tasks for the next aim of its class.
   bool pressed(Ms now, const Job& job) const;
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -173,11 +173,15 @@
   work.uncertain = false;
 }
 
+double Controller::age_s(Ms now, const Job& job) const {
+  return static_cast<double>(now + wall_offset_ - job.record.submitted_ms) / 1000.0;
+}
+
 // Most jobs are in time when those that still can be go first, the ones with least left to do
 // before the others. Without this, an overload makes every job a little late.
 Controller::Urgency Controller::urgency_of(Ms now, const Job& job) const {
   const auto& spec = job.record.spec;
-  const double age = static_cast<double>(now + wall_offset_ - job.record.submitted_ms) / 1000.0;
+  const double age = age_s(now, job);
   const std::uint64_t left = spec.tasks - std::min<std::uint64_t>(spec.tasks, job.done_tasks());
   // The aims of its class that it can no longer meet, and those that it can.
   int missed = 0, open = 0;
@@ -206,7 +210,7 @@
 
 bool Controller::pressed(Ms now, const Job& job) const {
   const auto& spec = job.record.spec;
-  const double age = static_cast<double>(now + wall_offset_ - job.record.submitted_ms) / 1000.0;
+  const double age = age_s(now, job);
   double left = 1e9;
   for (const auto& o : settings_.objectives) {
     if (o.job_class != spec.job_class) continue;
@@ -244,21 +248,33 @@
     const Job* job;
     const wire::RangeRecord* range;
     Urgency urgency;
+    bool old = false;
   };
+  double all_cpus = 0, old_cpus = 0;  // of our part; of those, what old jobs use
+  for (const auto* c : pass.pool)
+    if (const auto* type = replica_.type(c->type)) all_cpus += type->cpus;
   std::vector<Entry> entries;
   for (const auto& [id, job] : replica_.jobs()) {
     if (!job.known || job.record.cancelled || job.done_tasks() >= job.record.spec.tasks) continue;
     std::optional<Urgency> urgency;
+    const bool old = age_s(now, job) > k::kOldJobS;
     for (const auto& [number, r] : job.ranges) {
       const RangeId range{id, number};
       if (membership_.range_owner(wire::range_key(id, number), r.owner) != settings_.name) continue;
+      if (old) old_cpus += job.record.spec.cpus * static_cast<double>(r.placed.size());
       RangeWork& w = work_[range];
       if (open_tasks(w, r) == 0) continue;
       if (w.first_seen == 0) w.first_seen = now;
       if (!urgency) urgency = urgency_of(now, job);
-      entries.push_back({range, &job, &r, *urgency});
+      entries.push_back({range, &job, &r, *urgency, old});
     }
   }
+  // Old jobs have a share of the machines before all others, so that an overload that lasts does
+  // not put them off for ever; the rest goes by the aims.
+  if (old_cpus < k::kOldShare * all_cpus) {
+    for (auto& e : entries)
+      if (e.old) e.urgency.begun = false;
+  }
   std::sort(entries.begin(), entries.end(), [](const Entry& x, const Entry& y) {
     if (x.urgency != y.urgency) return x.urgency < y.urgency;
     return x.id < y.id;
