--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -223,6 +223,8 @@
 constexpr std::uint32_t kListPage = 500;
 // Machines rented in one request (PROTOCOL: 50 at most).
 constexpr std::uint32_t kRentAtOnce = 50;
+// Requests for one kind of machine at once; further ones wait until these are answered.
+constexpr std::uint32_t kRentRequests = 3;
 // Bytes that a machine takes of a shared record, with room for longer names than usual.
 constexpr std::size_t kBytesPerMachine = 112;
 // Groups of machines written in one transaction at most; keeps it below its size.
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -114,7 +114,7 @@
         for (const auto& z : type->zones) {
           MachineKind kind{type_name, z, spot};
           if ((!zone.empty() && z != zone) || is_refused(now, kind)) continue;
-          if (rent[kind] >= static_cast<int>(k::kRentAtOnce)) continue;
+          if (rent[kind] >= static_cast<int>(k::kRentAtOnce * k::kRentRequests)) continue;
           if (!best || counts[kind] < counts[found]) {
             found = kind;
             best = &found;
@@ -128,7 +128,11 @@
   }
   std::vector<wire::RentRequest> out;
   for (const auto& [kind, n] : rent) {
-    if (n > 0) out.push_back({"", kind.type, kind.zone, kind.spot, static_cast<std::uint32_t>(n)});
+    for (auto left = static_cast<std::uint32_t>(n); left > 0;) {
+      const std::uint32_t one = std::min(left, k::kRentAtOnce);
+      out.push_back({"", kind.type, kind.zone, kind.spot, one});
+      left -= one;
+    }
   }
   return out;
 }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -43,7 +43,7 @@
   // that is not in all that it falls under.
   std::vector<Need> needs(const std::vector<Demand>& demand,
                           const std::vector<wire::MachineType>& catalog) const;
-  // What to rent now, at most one request per kind. `held` counts machines that are usable or on
+  // What to rent now, at most a few requests per kind. `held` counts machines that are usable or on
   // their way; `refused` tells until when a kind is not asked for.
   std::vector<wire::RentRequest> to_rent(Ms now, const std::vector<Demand>& demand,
                                          const std::vector<wire::MachineType>& catalog,
