--- a/tests/sim/state_stand_in.h
+++ b/tests/sim/state_stand_in.h
@@ -44,6 +44,9 @@
 }
 
 struct StateStandIn {
+  static constexpr unsigned kTxnOps = 24;
+  static constexpr std::size_t kValueBytes = 8 * 1024;
+  int over_limits = 0;
   struct Item {
     std::string value;
     std::uint64_t version = 0;
@@ -125,6 +128,15 @@
   void transact(const std::string& body, const Respond& respond) {
     rapidjson::Document doc;
     if (!wire::parse_object(body, doc)) return respond(400, "{}");
+    // PROTOCOL's limits, with the settings of World.
+    bool over = body.size() > 64 * 1024 || doc["writes"].Size() > kTxnOps ||
+                doc["guards"].Size() > 4 * kTxnOps;
+    for (const auto& w : doc["writes"].GetArray())
+      over = over || (w.HasMember("v") && wire::text_of(w["v"]).size() > kValueBytes);
+    if (over) {
+      ++over_limits;
+      return respond(400, R"({"error":"too large"})");
+    }
     std::string failed;
     for (const auto& g : doc["guards"].GetArray()) {
       auto it = items.find(g["k"].GetString());
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -103,8 +103,8 @@
   settings_.cancel_s = 20;
   settings_.state_rps = 400;
   settings_.state_write_rps = 150;
-  settings_.value_kb = 8;
-  settings_.txn_ops = 24;
+  settings_.value_kb = StateStandIn::kValueBytes / 1024.0;
+  settings_.txn_ops = StateStandIn::kTxnOps;
   settings_.cloud_rps = 5;
   settings_.list_lag_s = 1;
   const char* zones[] = {"a", "b", "a"};
@@ -183,6 +183,7 @@
   }
   count_served();
   result_.writes = state_->writes;
+  result_.over_limits = state_->over_limits;
   for (const auto& n : nodes_)
     if (n->controller) trace(n->name + ": " + n->controller->status_line(now_));
   for (const auto& [id, j] : jobs_) {
@@ -192,6 +193,8 @@
     if (j.told_cancelled) ++result_.cancelled;
     if (j.told_done && j.spec.gang) ++result_.gangs_done;
     if (j.told_done && j.spec.spread) ++result_.spread_done;
+    if (j.told_done && options_.large_gang && j.spec.tasks == options_.large_gang)
+      result_.large_gang_done = true;
     if (!j.told_done && !j.told_cancelled) result_.unfinished.push_back(id);
   }
   return result_;
@@ -837,6 +840,15 @@
   }
   if (chance(0.5)) s.deadline_s = s.estimate_s * 2 + 5;
   job.mistake = chance(0.03);
+  if (options_.large_gang && next_job_ == 11) {
+    s.gang = true;
+    s.tasks = options_.large_gang;
+    s.cpus = 8;
+    s.team = "free";
+    s.zone.clear();
+    s.one_zone = s.spread = job.mistake = false;
+    s.spot = true;
+  }
   job.submitted_at = now_;
   const std::string id = s.id;
   jobs_[id] = job;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -56,13 +56,14 @@
   std::vector<Planned> planned;  // besides, or instead, of random ones
   int longest_task_s = 8;
   int free_team_tenths = 6;  // share of jobs of the team without a limit
-  double limit_cpus = 40;  // of team "tight"
-  double repeated = 0.02;  // share of requests of which a copy is executed again later
+  double limit_cpus = 40;    // of team "tight"
+  double repeated = 0.02;    // share of requests of which a copy is executed again later
   // Size: machines at the start, what the cloud has of each zone and kind, the largest array, and
   // milliseconds between jobs on average.
   int machines = 6, capacity = 3, largest_array = 60;
   int job_every_ms = 1500;
-  std::string trace;  // prints what mentions this (a machine, a job) to standard error
+  std::uint32_t large_gang = 0;  // tasks of one gang of whole machines, as the tenth job
+  std::string trace;             // prints what mentions this (a machine, a job) to standard error
   // Taken out:
   bool state_ignores_guards = false;
   bool workers_ignore_tokens = false;
@@ -79,6 +80,8 @@
   // Jobs that could have been over by the end, and those that were, by class, team and the largest
   // tenth of each class; and how many of the largest had not begun after four minutes.
   std::map<std::string, std::pair<int, int>> served;
+  bool large_gang_done = false;
+  int over_limits = 0;  // transactions that the state service refuses for their size
   int largest_late = 0, largest_seen = 0;
   int quarantined_starts = 0;  // on machines that had been deaf for longer than a lease
   // Answers to /healthz of a controller isolated for over 10 s, and in an outage that all share.
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -52,10 +52,13 @@
   o.largest_array = 900;
   o.job_every_ms = 1000;
   o.limit_cpus = 800;
+  o.large_gang = 150;
   const Result r = World(o).run();
   EXPECT_TRUE(r.broken.empty()) << list(r.broken);
   EXPECT_TRUE(r.unfinished.empty()) << list(r.unfinished);
   EXPECT_GT(r.done, 40);
+  EXPECT_TRUE(r.large_gang_done);
+  EXPECT_EQ(r.over_limits, 0);
 }
 
 Options planned(std::uint64_t seed, std::vector<Planned> troubles) {
@@ -157,6 +160,7 @@
   EXPECT_TRUE(r.broken.empty()) << list(r.broken);
   EXPECT_TRUE(r.unfinished.empty()) << list(r.unfinished);
   EXPECT_GT(r.done, 10);
+  EXPECT_EQ(r.over_limits, 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Troubles, testing::Range<std::uint64_t>(1, 41));
