--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -5,16 +5,12 @@
 #include <algorithm>
 #include <chrono>
 
+#include "core/constants.h"
 #include "net/address.h"
 #include "net/limits.h"
 
 namespace puffinhaven::app {
 
-namespace {
-constexpr core::Ms kStatusEveryMs = 10'000;  // between lines about the state of things, at info
-constexpr core::Ms kTimerSlackMs = 5;        // by which a look may be late; setting a timer costs
-}  // namespace
-
 Service::Service(asio::io_context& io, const NodeSettings& settings, const Options& options,
                  std::uint64_t seed)
     : io_(io),
@@ -72,7 +68,7 @@
   look_at_ = 0;
   carry_out();
   if (now >= status_at_) {
-    status_at_ = now + kStatusEveryMs;
+    status_at_ = now + core::constants::kStatusEveryMs;
     spdlog::info("{}, connections {}", controller_.status_line(now), server_->connections());
   }
 }
@@ -81,7 +77,7 @@
 void Service::arm() {
   const core::Ms now = steady_ms();
   const core::Ms at = std::clamp(controller_.next_look(now), now + 1, now + options_.tick_ms);
-  if (look_at_ != 0 && look_at_ <= at + kTimerSlackMs) return;
+  if (look_at_ != 0 && look_at_ <= at + core::constants::kTimerSlackMs) return;
   look_at_ = at;
   timer_.expires_after(std::chrono::milliseconds(at - now));
   timer_.async_wait([this](std::error_code error) {
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -45,7 +45,7 @@
 // Seconds from which on a job is old, whatever its aims, and the share of a part's CPUs that old
 // jobs have before all others.
 constexpr double kOldJobS = 180.0;
-constexpr double kOldShare = 0.25;
+constexpr double kOldShare = 0.1;
 // Seconds after which a job that has nothing started goes before all others with its first tasks,
 // and how many in each range. The largest must begin within 240 s (four minutes); starts take
 // seconds, but more than one such job may be due at once.
@@ -73,6 +73,17 @@
 // Bytes of a range record besides placements and bitmap: owner, bounds.
 constexpr std::size_t kRangeOverheadBytes = 200;
 
+// Amounts are decimal numbers; sums of tenths must not miss a fit by rounding. CPUs, GPUs, GB.
+constexpr double kAmountSlack = 1e-6;
+// Seconds in which a job without any aim should be through.
+constexpr double kDefaultHorizonS = 600.0;
+
+// ---- the process ----
+// Milliseconds between lines about the state of things.
+constexpr std::int64_t kStatusEveryMs = 10'000;
+// Milliseconds by which a look at the time may be late; setting a timer costs a system call.
+constexpr std::int64_t kTimerSlackMs = 5;
+
 // ---- membership ----
 // Life of a controller's hold, milliseconds. Longer than a restart (about 3 s) so that a crash
 // alone moves no machines, shorter than any worker lease.
@@ -172,6 +183,8 @@
 // Direct messages under way at once, each on a socket: to machines that answer, and to others.
 constexpr int kOrdersInFlight = 64;
 constexpr int kProbesInFlight = 8;
+// Milliseconds between looks whether a machine needs a direct message, if nothing calls for one.
+constexpr std::int64_t kKickEveryMs = 1000;
 // Milliseconds between looks at silent machines; a tenth of the shortest report interval known.
 constexpr std::int64_t kLookEveryMs = 100;
 // Milliseconds for which machines of a zone that is mostly silent are kept: it is cut off, most
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -10,16 +10,11 @@
 
 namespace k = constants;
 
-namespace {
-// Seconds in which a job without any aim should be through.
-constexpr double kDefaultHorizonS = 600.0;
-}  // namespace
-
 double Fleet::parallel(const Demand& d) const {
   const wire::JobSpec& job = *d.job;
   const auto tasks = static_cast<double>(d.tasks);
   if (job.gang) return job.tasks;
-  double horizon = kDefaultHorizonS;
+  double horizon = k::kDefaultHorizonS;
   for (const auto& o : settings_.objectives) {
     if (o.job_class != job.job_class) continue;
     if (o.kind == "deadline" && job.deadline_s)
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -19,6 +19,7 @@
   for (const auto& [id, m] : machines_) {
     if (usable(now, m)) hint.free_cpus += std::max(0.0, candidate(now, m).cpus);
   }
+  hint.sent_ms = static_cast<std::uint64_t>(now + wall_offset_);
   const std::string bytes = encode(hint);
   for (const auto& p : settings_.peers) out_.peers.push_back({p.name, bytes});
 }
@@ -32,12 +33,15 @@
   const bool known = std::any_of(settings_.peers.begin(), settings_.peers.end(),
                                  [&](const auto& p) { return p.name == hint.from; });
   if (!known) return;
+  // Whatever its age, that a view exists stays true; the rest is of its moment. Guards against a
+  // copy that comes late and passes for a peer's word.
+  newest_epoch_ = std::max(newest_epoch_, hint.epoch);
+  if (now + wall_offset_ - static_cast<Ms>(hint.sent_ms) > 2 * k::kStateSilentMs) return;
   PeerState& p = peers_[hint.from];
   p.heard_at = now;
   if (hint.state_answers && !p.state_answers) p.answers_since = now;
   p.state_answers = hint.state_answers;
   p.epoch = hint.epoch;
-  newest_epoch_ = std::max(newest_epoch_, hint.epoch);
 }
 
 bool Controller::superseded(Ms now) const {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -8,14 +8,9 @@
 
 namespace puffinhaven::core {
 
-namespace {
-// Amounts are decimal numbers; sums of tenths must not miss a fit by rounding.
-constexpr double kSlack = 1e-6;
-}  // namespace
-
 bool Candidate::fits(const wire::JobSpec& job) const {
-  return cpus + kSlack >= job.cpus && gpus + kSlack >= job.gpus &&
-         memory_gb + kSlack >= job.memory_gb;
+  return cpus + constants::kAmountSlack >= job.cpus && gpus + constants::kAmountSlack >= job.gpus &&
+         memory_gb + constants::kAmountSlack >= job.memory_gb;
 }
 
 bool Candidate::book(const wire::JobSpec& job, Ms ends_at) {
@@ -50,9 +45,10 @@
 
 double fit_count(const wire::JobSpec& job, double cpus, double gpus, double memory_gb) {
   double n = 1e6;
-  if (job.cpus > 0) n = std::min(n, std::floor((cpus + kSlack) / job.cpus));
-  if (job.gpus > 0) n = std::min(n, std::floor((gpus + kSlack) / job.gpus));
-  if (job.memory_gb > 0) n = std::min(n, std::floor((memory_gb + kSlack) / job.memory_gb));
+  if (job.cpus > 0) n = std::min(n, std::floor((cpus + constants::kAmountSlack) / job.cpus));
+  if (job.gpus > 0) n = std::min(n, std::floor((gpus + constants::kAmountSlack) / job.gpus));
+  if (job.memory_gb > 0)
+    n = std::min(n, std::floor((memory_gb + constants::kAmountSlack) / job.memory_gb));
   return std::max(0.0, n);
 }
 
--- a/src/core/quota.cpp
+++ b/src/core/quota.cpp
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/constants.h"
+
 namespace puffinhaven::core {
 
 namespace {
 
-constexpr double kSlack = 1e-6;
 using Amount = wire::QuotaRecord::Amount;
 
 // One dimension (cpus or gpus) of the next record. Returns true when something changed.
@@ -23,7 +24,7 @@
   // guard of the write keeps them from using more.
   for (auto& [who, grant] : r.grants) {
     if (std::find(in.live.begin(), in.live.end(), who) != in.live.end()) continue;
-    if (grant.*field > used(who) + kSlack) {
+    if (grant.*field > used(who) + constants::kAmountSlack) {
       grant.*field = used(who);
       changed = true;
     }
@@ -38,25 +39,26 @@
   const double target = own_used + in.need.*field;
   const double free = std::max(0.0, limit - granted);
   double& wanted = r.wanted[in.self].*field;
-  if (target > own + kSlack) {
+  if (target > own + constants::kAmountSlack) {
     const double take = std::min(free, target - own);
-    if (take > kSlack) {
+    if (take > constants::kAmountSlack) {
       own += take;
       changed = true;
     }
     const double missing = std::max(0.0, target - own);
     // Tell the others, without writing for every small change.
-    if ((missing > kSlack) != (wanted > kSlack) || missing > 2 * wanted) {
+    if ((missing > constants::kAmountSlack) != (wanted > constants::kAmountSlack) ||
+        missing > 2 * wanted) {
       wanted = missing;
       changed = true;
     }
   } else {
-    if (wanted > kSlack) {
+    if (wanted > constants::kAmountSlack) {
       wanted = 0;
       changed = true;
     }
     const double idle = own - target;
-    if (others_want > free + kSlack && idle > kSlack) {
+    if (others_want > free + constants::kAmountSlack && idle > constants::kAmountSlack) {
       own -= std::min(idle, others_want - free);
       changed = true;
     }
@@ -72,8 +74,8 @@
                   const wire::QuotaRecord::Amount& used, double cpus, double gpus) {
   auto it = record.grants.find(self);
   const Amount grant = it == record.grants.end() ? Amount{} : it->second;
-  if (team.cpus_max > 0 && used.cpus + cpus > grant.cpus + kSlack) return false;
-  if (team.gpus_max > 0 && used.gpus + gpus > grant.gpus + kSlack) return false;
+  if (team.cpus_max > 0 && used.cpus + cpus > grant.cpus + constants::kAmountSlack) return false;
+  if (team.gpus_max > 0 && used.gpus + gpus > grant.gpus + constants::kAmountSlack) return false;
   return true;
 }
 
--- a/src/core/room.cpp
+++ b/src/core/room.cpp
@@ -22,7 +22,8 @@
     auto [used, fresh] = pass.team_usage.try_emplace(name);
     if (fresh) used->second = replica_.usage(name);
     const Usage& u = used->second;
-    return u.cpus + more.cpus <= t->cpus + 1e-6 && u.gpus + more.gpus <= t->gpus + 1e-6;
+    return u.cpus + more.cpus <= t->cpus + k::kAmountSlack &&
+           u.gpus + more.gpus <= t->gpus + k::kAmountSlack;
   };
   const bool entitled = within(spec.team, spec);
   if (spec.priority == wire::Priority::low && !entitled) return -1;
@@ -109,6 +110,7 @@
   for (const Victim& v : best_victims) {
     m.halts[v.task] = {v.attempt, v.grace};
     // The room counts as free below, in the candidate as it stands.
+    m.kick_again = true;
     c.cpus += v.spec->cpus;
     c.gpus += v.spec->gpus;
     c.memory_gb += v.spec->memory_gb;
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -379,7 +379,6 @@
   }
   // What is recorded and not listed. Nothing is started while the state service is silent.
   if (can_write(now) && m.sequence > 0) {
-    constexpr double slack = 1e-6;
     for (const TaskRef& ref : replica_.placed_on(m.id)) {
       if (out.size() >= k::kCommandsPerMessage) break;
       const auto* p = replica_.placement(ref);
@@ -394,7 +393,8 @@
         if (f != w->second.freed.end() && f->second.attempt == p->attempt) continue;
       }
       const auto& spec = job->record.spec;
-      if (cpus + slack < spec.cpus || gpus + slack < spec.gpus || memory + slack < spec.memory_gb)
+      if (cpus + k::kAmountSlack < spec.cpus || gpus + k::kAmountSlack < spec.gpus ||
+          memory + k::kAmountSlack < spec.memory_gb)
         continue;  // waits for what is being stopped
       cpus -= spec.cpus;
       gpus -= spec.gpus;
@@ -412,8 +412,12 @@
   return out;
 }
 
-bool Controller::direct_needed(const Machine& m, const std::vector<wire::Command>& list) const {
-  if (!m.touched || m.unreached_since != 0 || m.doubted) return true;
+bool Controller::direct_needed(Ms now, const Machine& m,
+                               const std::vector<wire::Command>& list) const {
+  if (m.unreached_since != 0 || m.doubted) return true;
+  // A machine that reports shows our token with its next report by itself. Guards against hundreds
+  // of messages at once when a part is taken over.
+  if (!m.touched && now - m.heard_at > ms(settings_.report_s)) return true;
   if (std::any_of(list.begin(), list.end(),
                   [](const auto& c) { return c.kind != wire::CommandKind::forget; }))
     return true;
@@ -428,7 +432,8 @@
   }
   if (now < m.orders_after) return;
   const auto list = commands(now, m);
-  if (!probe && !direct_needed(m, list)) return;
+  m.kick_again = false;
+  if (!probe && !direct_needed(now, m, list)) return;
   // Bounded, or a cut would take all sockets; those that do not answer must not be in the way.
   const bool doubtful = m.orders_failed > 0 || now - m.heard_at > silent_after();
   int& out = doubtful ? probes_out_ : orders_out_;
@@ -470,6 +475,7 @@
     // May still be executed: everything sent from now on outruns it.
     out_of_reach(now, m);
     m.candidate_known = false;
+    m.kick_again = true;
     m.orders_after = now + (k::kOrdersRetryMs << std::min(m.orders_failed, k::kOrdersRetryDoubles));
     ++m.orders_failed;
   }
@@ -592,11 +598,16 @@
         if (spec.checkpoint_s > 0 && left_s > spec.save_s + 2.0) continue;
         m.halts[task] = {seen.attempt, spec.checkpoint_s > 0 ? spec.save_s : 0.0};
         m.candidate_known = false;
+        m.kick_again = true;
       }
     }
     const bool idle_probe =
         quiet > quiet_after() && now >= m.orders_after && !replica_.placed_on(id).empty();
-    if (m.kick_again || now >= m.orders_after) kick(now, m, idle_probe);
+    // What calls for a direct message sets kick_again; the rest is looked at now and then.
+    if (m.kick_again || idle_probe || now >= m.kick_at) {
+      m.kick_at = now + k::kKickEveryMs;
+      kick(now, m, idle_probe);
+    }
   }
 }
 
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -71,7 +71,7 @@
   ok = ok && add(map.get(), "epoch", Item(cbor_build_uint64(hint.epoch)));
   ok = ok && add(map.get(), "state", Item(cbor_build_bool(hint.state_answers)));
   ok = ok && add(map.get(), "free", Item(cbor_build_float8(hint.free_cpus)));
-  ok = ok && add(map.get(), "wanted", Item(cbor_build_uint64(hint.wanted)));
+  ok = ok && add(map.get(), "sent", Item(cbor_build_uint64(hint.sent_ms)));
   if (!ok) return {};
   unsigned char* data = nullptr;
   std::size_t capacity = 0;
@@ -87,7 +87,7 @@
   if (!item || result.error.code != CBOR_ERR_NONE || !cbor_isa_map(item.get())) return false;
   return read(item.get(), "from", hint.from) && read(item.get(), "incarnation", hint.incarnation) &&
          read(item.get(), "epoch", hint.epoch) && read(item.get(), "state", hint.state_answers) &&
-         read(item.get(), "free", hint.free_cpus) && read(item.get(), "wanted", hint.wanted);
+         read(item.get(), "free", hint.free_cpus) && read(item.get(), "sent", hint.sent_ms);
 }
 
 }  // namespace puffinhaven::wire
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -13,7 +13,7 @@
   std::uint64_t epoch = 0;     // of the newest view the sender knows
   bool state_answers = false;  // the state service answers the sender
   double free_cpus = 0;        // free room of its part
-  std::uint64_t wanted = 0;    // tasks that it could start but has not got
+  std::uint64_t sent_ms = 0;   // time of day at which it was sent, milliseconds
 };
 
 std::string encode(const PeerHint& hint);
