--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -178,7 +178,7 @@
     return Membership::token(membership_.epoch(), m.fence);
   }
   std::vector<wire::Command> commands(Ms now, Machine& m);
-  bool direct_needed(Ms now, const Machine& m, const std::vector<wire::Command>& commands) const;
+  bool direct_needed(const Machine& m, const std::vector<wire::Command>& commands) const;
   // The task is not to be on any machine: cancelled, being stopped, or of a gang that failed.
   bool unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const;
   bool absence_open(const Machine& m) const;
--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -412,12 +412,8 @@
   return out;
 }
 
-bool Controller::direct_needed(Ms now, const Machine& m,
-                               const std::vector<wire::Command>& list) const {
-  if (m.unreached_since != 0 || m.doubted) return true;
-  // A machine that reports shows our token with its next report by itself. Guards against hundreds
-  // of messages at once when a part is taken over.
-  if (!m.touched && now - m.heard_at > ms(settings_.report_s)) return true;
+bool Controller::direct_needed(const Machine& m, const std::vector<wire::Command>& list) const {
+  if (!m.touched || m.unreached_since != 0 || m.doubted) return true;
   if (std::any_of(list.begin(), list.end(),
                   [](const auto& c) { return c.kind != wire::CommandKind::forget; }))
     return true;
@@ -433,7 +429,7 @@
   if (now < m.orders_after) return;
   const auto list = commands(now, m);
   m.kick_again = false;
-  if (!probe && !direct_needed(now, m, list)) return;
+  if (!probe && !direct_needed(m, list)) return;
   // Bounded, or a cut would take all sockets; those that do not answer must not be in the way.
   const bool doubtful = m.orders_failed > 0 || now - m.heard_at > silent_after();
   int& out = doubtful ? probes_out_ : orders_out_;
@@ -471,6 +467,8 @@
     // It has answered, so it is within reach. A restarted one shows our token first.
     if (!again) m.unreached_since = 0;
     m.orders_after = outcome.status == 200 ? now : now + k::kOrdersRetryMs / 4;
+    // What was stopped may be gone, and what waits for its room can start.
+    m.kick_at = std::min(m.kick_at, now + k::kLookEveryMs);
   } else {
     // May still be executed: everything sent from now on outruns it.
     out_of_reach(now, m);
