--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -21,8 +21,10 @@
 constexpr std::int64_t kGrantsEveryMs = 100;
 // Ranges of one job, so that one transaction can end it (conditions).
 constexpr std::size_t kRangesPerJob = 48;
-// Tasks that go to one part together when a job is divided, so that a small job has few records,
-// and steps of a large one at most.
+// A job is divided in steps of this part of what the fleet holds of its tasks, so that records do
+// not outgrow the write rate with the fleet while a small fleet is used to the full; tasks of a
+// step at most, and steps of a large job.
+constexpr double kStepOfFleet = 64.0;
 constexpr std::uint32_t kTasksPerStep = 64;
 constexpr std::uint32_t kStepsPerJob = 256;
 // Milliseconds within which the ends of tasks are recorded, and for which they are at least
@@ -45,7 +47,7 @@
 // Seconds from which on a job is old, whatever its aims, and the share of a part's CPUs that old
 // jobs have before all others.
 constexpr double kOldJobS = 180.0;
-constexpr double kOldShare = 0.1;
+constexpr double kOldShare = 0.2;
 // Seconds after which a job that has nothing started goes before all others with its first tasks,
 // and how many in each range. The largest must begin within 240 s (four minutes); starts take
 // seconds, but more than one such job may be due at once.
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -228,6 +228,7 @@
   Candidate foreign_candidate(Ms now, const std::string& id,
                               const wire::MachineRecord& record) const;
   void add_foreign(Pass& pass);
+  static void reserve(Pass& pass, const wire::JobSpec& spec, std::size_t tasks);
   void place_array(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range,
                    const Urgency& urgency);
   // Zones that the next task of the job may go to, of those of the pool.
@@ -243,7 +244,8 @@
   static Ms ends_at(Ms from, const wire::JobSpec& spec);
 
   // ---- gangs.cpp ----
-  void place_gang(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range);
+  void place_gang(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range,
+                  bool begun);
   std::vector<int> hold_gang(Pass& pass, const wire::JobSpec& spec, bool foreign,
                              const std::string& only);
 
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -11,7 +11,7 @@
 namespace k = constants;
 
 void Controller::place_gang(Pass& pass, const RangeId& id, const Job& job,
-                            const wire::RangeRecord& range) {
+                            const wire::RangeRecord& range, bool begun) {
   const auto& spec = job.record.spec;
   RangeWork& w = work_[id];
   // The next attempt starts when nothing of the last is left anywhere.
@@ -48,6 +48,7 @@
       return;
     }
   }
+  if (!begun) reserve(pass, spec, spec.tasks);
 }
 
 // Books a machine for every task of the gang, or nothing.
--- a/src/core/pass.h
+++ b/src/core/pass.h
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -20,7 +21,8 @@
   int writes = 0;                                         // that may still be asked for
   std::map<std::string, wire::QuotaRecord::Amount> used;  // of our grants, by team
   std::map<std::string, Usage> team_usage;                // of all parts, as of the pass's start
-  std::vector<const wire::JobSpec*> failed;               // shapes that found no room
+  std::set<int> reserved;                    // machines kept free for what waits to begin
+  std::vector<const wire::JobSpec*> failed;  // shapes that found no room
   // Tasks of a shape that our part has room for: cpus, gpus, memory, spot, types, zone.
   using Shape = std::tuple<double, double, double, bool, std::vector<std::string>, std::string>;
   std::map<Shape, double> room;
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -56,8 +56,11 @@
   std::string first = rendezvous(wire::job_key(spec.id), membership_.owners());
   // Step by step to the part with most room left, then to the one least loaded for its size. A step
   // is several tasks: each part that takes some has records to write for as long as they run.
-  const std::uint32_t step =
-      whole ? spec.tasks : std::max(k::kTasksPerStep, spec.tasks / k::kStepsPerJob);
+  double held = 0;
+  for (const auto& [name, p] : parts) held += p.capacity;
+  const auto fine = static_cast<std::uint32_t>(
+      std::clamp(held / k::kStepOfFleet, 1.0, static_cast<double>(k::kTasksPerStep)));
+  const std::uint32_t step = whole ? spec.tasks : std::max(fine, spec.tasks / k::kStepsPerJob);
   for (std::uint32_t given = 0; given < spec.tasks;) {
     const std::uint32_t n = std::min(step, spec.tasks - given);
     Part* best = nullptr;
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -292,7 +292,7 @@
       continue;
     }
     if (e.job->record.spec.gang) {
-      place_gang(pass, e.id, *e.job, *e.range);
+      place_gang(pass, e.id, *e.job, *e.range, e.urgency.begun);
     } else {
       place_array(pass, e.id, *e.job, *e.range, e.urgency);
     }
@@ -307,6 +307,23 @@
   store_.tick(now);
 }
 
+// Keeps the machines with most room for what must begin and finds none yet. Guards against large
+// tasks and gangs that wait for ever, since small ones take every bit of room as it comes.
+void Controller::reserve(Pass& pass, const wire::JobSpec& spec, std::size_t tasks) {
+  std::vector<int> open;
+  for (std::size_t i = 0; i < pass.pool.size(); ++i) {
+    const Candidate& c = *pass.pool[i];
+    if (c.own && allowed(spec, c.type, c.zone, c.spot)) open.push_back(static_cast<int>(i));
+  }
+  const std::size_t n = std::min(tasks, open.size() / 4 + 1);
+  const auto middle = open.begin() + static_cast<std::ptrdiff_t>(std::min(n, open.size()));
+  std::partial_sort(open.begin(), middle, open.end(), [&](int a, int b) {
+    return pass.pool[static_cast<std::size_t>(a)]->cpus >
+           pass.pool[static_cast<std::size_t>(b)]->cpus;
+  });
+  pass.reserved.insert(open.begin(), middle);
+}
+
 std::set<std::string> Controller::zones_open(const Pass& pass, const Job& job) const {
   const auto& spec = job.record.spec;
   std::map<std::string, std::size_t> here;  // tasks by zone
@@ -345,8 +362,8 @@
   std::vector<int> eligible;
   for (std::size_t i = 0; i < pass.pool.size(); ++i) {
     const Candidate& c = *pass.pool[i];
-    if ((c.own || zoned) && allowed(spec, c.type, c.zone, c.spot) &&
-        !health_.failed_here(pass.now, c.id, spec.id))
+    if ((c.own || zoned) && (!urgency.begun || !pass.reserved.contains(static_cast<int>(i))) &&
+        allowed(spec, c.type, c.zone, c.spot) && !health_.failed_here(pass.now, c.id, spec.id))
       eligible.push_back(static_cast<int>(i));
   }
   if (eligible.empty() && health_.faulty_job(spec.id)) {
@@ -387,6 +404,7 @@
     if (chosen >= 0 && zoned && !open.contains(pass.pool[static_cast<std::size_t>(chosen)]->zone))
       chosen = -1;
     if (chosen < 0) {
+      if (!urgency.begun) reserve(pass, spec, 1);
       if (!zoned) pass.failed.push_back(&spec);
       break;
     }
