A later session counts only by a machine's own answer: late copies from before a restart freed running tasks

A machine had restarted and counted its sessions from one again; a late copy of a report from its former life carried session 2 and passed for a new session, which frees what the older one held.

--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -73,10 +73,21 @@
   auto it = machines_.find(report.machine);
   if (it == machines_.end()) it = own(now, report.machine);
   Machine& m = it->second;
+  // Guards against copies from a machine's life before it restarted, whose counters may well be the
+  // higher ones: within a life its token never falls, and a later session counts only once the
+  // machine has said so in answer to a message of our own. Until then it gets no commands.
+  if (m.session != 0 && report.session > m.session && report.token >= m.token_seen) {
+    m.doubted = true;
+    kick(now, m);
+    m.lease_from = std::max(m.lease_from, now);
+    answer(request, 200, wire::report_answer(token(m), {}));
+    return;
+  }
+  const bool stale = report.token < m.token_seen;
   // A report may be overtaken by the answer to a direct message; it is genuine all the same.
-  const bool fresh = Counters(report.session, report.sequence) > m.last_report;
+  const bool fresh = !stale && Counters(report.session, report.sequence) > m.last_report;
   if (fresh) m.last_report = {report.session, report.sequence};
-  if (!take_report(now, m, report) && !(fresh && report.session == m.session)) {
+  if ((stale || !take_report(now, m, report)) && !(fresh && report.session == m.session)) {
     // Guards against late copies: they renew nothing and get no commands. A machine that came back
     // with low counters looks the same; its answer to a message of our own tells (on_orders).
     m.doubted = true;
