--- a/src/core/workers.cpp
+++ b/src/core/workers.cpp
@@ -73,6 +73,8 @@
   auto it = machines_.find(report.machine);
   if (it == machines_.end()) it = own(now, report.machine);
   Machine& m = it->second;
+  // Guards against a machine that nobody can ask because its address was never recorded.
+  if (m.address.empty()) m.address = report.address;
   // Guards against copies from a machine's life before it restarted, whose counters may well be the
   // higher ones: within a life its token never falls, and a later session counts only once the
   // machine has said so in answer to a message of our own. Until then it gets no commands.
