--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -53,6 +53,12 @@
 // seconds, but more than one such job may be due at once.
 constexpr double kBeginWithinS = 120.0;
 constexpr std::uint32_t kTasksToBegin = 8;
+// Rounds in which it is settled which of its class's aims each waiting job is to meet; classes have
+// two to four.
+constexpr int kOrderRounds = 4;
+// Share of the fleet's CPUs that forecasts of when waiting work starts count with: fetches, losses
+// and wrong estimates take the rest.
+constexpr double kForecastShare = 0.65;
 // Milliseconds between scheduling passes at most, for what becomes possible by time alone.
 constexpr std::int64_t kIdlePassMs = 200;
 // Seconds that a low-priority task must still have ahead for standard work to stop it; high and
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -14,6 +14,7 @@
 #include "core/fleet.h"
 #include "core/health.h"
 #include "core/membership.h"
+#include "core/order.h"
 #include "core/placement.h"
 #include "core/quota.h"
 #include "core/replica.h"
@@ -211,16 +212,15 @@
 
   // ---- schedule.cpp ----
   struct Pass;  // pass.h
-  // Order of scheduling, smallest first.
+  // When a range is served.
   struct Urgency {
     bool begun = true;      // false: goes before all others with a few tasks
     bool hopeless = false;  // meets none of its class's aims any more
-    int priority = 0;       // negated: high first
-    double left = 0;        // work, in CPU seconds by the estimate
-    auto operator<=>(const Urgency&) const = default;
+    std::size_t place = 0;  // of its job among all that wait (order.h)
   };
   double age_s(Ms now, const Job& job) const;
-  Urgency urgency_of(Ms now, const Job& job) const;
+  Waiting waiting(Ms now, const Job& job) const;
+  double fleet_cpus(Ms now);  // of all machines that may be used
   // Little time is left to start its tasks for the next aim of its class.
   bool pressed(Ms now, const Job& job) const;
   void schedule(Ms now);
@@ -319,6 +319,8 @@
   std::set<std::string> check_finish_;
   bool dirty_ = false;
   Ms schedule_after_ = 0;
+  double fleet_cpus_ = 0;
+  Ms fleet_cpus_at_ = 0;
   std::size_t waiting_requests_ = 0;
   std::map<std::string, bool> quota_busy_;
   std::set<std::string> quota_uncertain_;  // busy until written again
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -177,35 +177,34 @@
   return static_cast<double>(now + wall_offset_ - job.record.submitted_ms) / 1000.0;
 }
 
-// Most jobs are in time when those that still can be go first, the ones with least left to do
-// before the others. Without this, an overload makes every job a little late.
-Controller::Urgency Controller::urgency_of(Ms now, const Job& job) const {
+// The aims of its class that the job can still meet, as times by which its tasks must have started.
+Waiting Controller::waiting(Ms now, const Job& job) const {
   const auto& spec = job.record.spec;
-  const double age = age_s(now, job);
-  const std::uint64_t left = spec.tasks - std::min<std::uint64_t>(spec.tasks, job.done_tasks());
-  // The aims of its class that it can no longer meet, and those that it can.
-  int missed = 0, open = 0;
+  Waiting w;
+  w.age = age_s(now, job);
+  const std::uint64_t held = job.done_tasks() + job.placed_tasks();
+  w.work = static_cast<double>(spec.tasks - std::min<std::uint64_t>(spec.tasks, held)) *
+           spec.estimate_s * std::max(spec.cpus, 0.1);
+  bool finish_open = false, any = false;
   for (const auto& o : settings_.objectives) {
     if (o.job_class != spec.job_class) continue;
-    double within = -1;
-    if (o.kind == "deadline" && spec.deadline_s) within = *spec.deadline_s * o.times;
-    if (o.kind == "finished") within = o.within_s;
-    if (within < 0) continue;
-    (age + spec.estimate_s > within ? missed : open) += 1;
+    double start_by = -1;
+    if (o.kind == "wait") start_by = o.within_s - w.age;
+    if (o.kind == "deadline" && spec.deadline_s)
+      start_by = *spec.deadline_s * o.times - spec.estimate_s - w.age;
+    if (o.kind == "finished") start_by = o.within_s - spec.estimate_s - w.age;
+    any = any || o.kind != "wait";
+    if (start_by < 0) continue;
+    w.start_by.push_back(start_by);
+    finish_open = finish_open || o.kind != "wait";
   }
-  Urgency u;
-  // Nobody is starved: whoever has waited this long without any task started begins now, and goes
-  // on in its own place afterwards.
-  u.begun = age < k::kBeginWithinS || job.done_tasks() + job.placed_tasks() > 0;
-  u.hopeless = missed > 0 && open == 0;
+  if (!any) w.start_by.push_back(std::max(0.0, k::kDefaultHorizonS - spec.estimate_s - w.age));
+  std::sort(w.start_by.begin(), w.start_by.end());
   // While its class has an aim to meet, low work waits in one queue with standard work (measured,
   // docs/design.md); it still stops nothing and may be stopped.
-  const auto rank = open > 0 ? std::max(spec.priority, wire::Priority::normal) : spec.priority;
-  u.priority = -static_cast<int>(rank);
-  u.left = static_cast<double>(left) * spec.estimate_s * std::max(spec.cpus, 0.1);
-  // What can meet no aim any more is served by age, so that the largest come to their end too.
-  if (u.hopeless) u.left = -age;
-  return u;
+  w.priority = static_cast<int>(finish_open ? std::max(spec.priority, wire::Priority::normal)
+                                            : spec.priority);
+  return w;
 }
 
 bool Controller::pressed(Ms now, const Job& job) const {
@@ -224,6 +223,17 @@
   return left < k::kPressedS;
 }
 
+double Controller::fleet_cpus(Ms now) {
+  if (now < fleet_cpus_at_) return fleet_cpus_;
+  fleet_cpus_at_ = now + k::kSizeEveryMs;
+  fleet_cpus_ = 0;
+  for (const auto& [id, record] : replica_.machines()) {
+    if (record.standing != wire::MachineStanding::ready || record.session == 0) continue;
+    if (const auto* type = replica_.type(record.type)) fleet_cpus_ += type->cpus;
+  }
+  return fleet_cpus_;
+}
+
 void Controller::schedule(Ms now) {
   dirty_ = false;
   schedule_after_ = now + k::kPassEveryMs;
@@ -247,17 +257,24 @@
     RangeId id;
     const Job* job;
     const wire::RangeRecord* range;
+    std::size_t waiter;
+    bool old;
     Urgency urgency;
-    bool old = false;
   };
   double all_cpus = 0, old_cpus = 0;  // of our part; of those, what old jobs use
   for (const auto* c : pass.pool)
     if (const auto* type = replica_.type(c->type)) all_cpus += type->cpus;
   std::vector<Entry> entries;
+  // All jobs that wait, of whatever part: every controller comes to the same order.
+  std::vector<Waiting> waiters;
+  std::vector<const std::string*> classes;
+  std::map<std::string_view, double> of_class;  // live jobs
   for (const auto& [id, job] : replica_.jobs()) {
     if (!job.known || job.record.cancelled || job.done_tasks() >= job.record.spec.tasks) continue;
-    std::optional<Urgency> urgency;
+    of_class[job.record.spec.job_class] += 1;
     const bool old = age_s(now, job) > k::kOldJobS;
+    const std::size_t waiter = waiters.size();
+    bool waits = job.done_tasks() + job.placed_tasks() < job.record.spec.tasks;
     for (const auto& [number, r] : job.ranges) {
       const RangeId range{id, number};
       if (membership_.range_owner(wire::range_key(id, number), r.owner) != settings_.name) continue;
@@ -265,9 +282,23 @@
       RangeWork& w = work_[range];
       if (open_tasks(w, r) == 0) continue;
       if (w.first_seen == 0) w.first_seen = now;
-      if (!urgency) urgency = urgency_of(now, job);
-      entries.push_back({range, &job, &r, *urgency, old});
+      waits = true;
+      entries.push_back({range, &job, &r, waiter, old, {}});
     }
+    if (!waits) continue;
+    waiters.push_back(waiting(now, job));
+    classes.push_back(&job.record.spec.job_class);
+  }
+  // The aims are shares of a class: one job of a small class counts for more.
+  for (std::size_t i = 0; i < waiters.size(); ++i) waiters[i].weight = 1.0 / of_class[*classes[i]];
+  const auto place = places(waiters, fleet_cpus(now));
+  for (auto& e : entries) {
+    const Waiting& w = waiters[e.waiter];
+    // Nobody is starved: whoever has waited this long without any task started begins now, and goes
+    // on in its own place afterwards.
+    e.urgency.begun = w.age < k::kBeginWithinS || e.job->done_tasks() + e.job->placed_tasks() > 0;
+    e.urgency.hopeless = w.start_by.empty();
+    e.urgency.place = place[e.waiter];
   }
   // Old jobs have a share of the machines before all others, so that an overload that lasts does
   // not put them off for ever; the rest goes by the aims.
@@ -276,7 +307,8 @@
       if (e.old) e.urgency.begun = false;
   }
   std::sort(entries.begin(), entries.end(), [](const Entry& x, const Entry& y) {
-    if (x.urgency != y.urgency) return x.urgency < y.urgency;
+    if (x.urgency.begun != y.urgency.begun) return !x.urgency.begun;
+    if (x.urgency.place != y.urgency.place) return x.urgency.place < y.urgency.place;
     return x.id < y.id;
   });
   quota_need_.clear();
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -8,6 +8,7 @@
 #include "core/fleet.h"
 #include "core/health.h"
 #include "core/membership.h"
+#include "core/order.h"
 #include "core/placement.h"
 #include "core/quota.h"
 
@@ -176,6 +177,72 @@
   EXPECT_FALSE(h.failed(2000, "m1", "req-000010"));  // the faulty job's errors do not count
 }
 
+Waiting waits(double work, std::vector<double> start_by, int priority = 1, double age = 0) {
+  Waiting w;
+  w.work = work;
+  w.start_by = std::move(start_by);
+  w.priority = priority;
+  w.age = age;
+  return w;
+}
+
+// CPUs with which the forecast counts on one CPU second a second.
+constexpr double kOneCpu = 1.0 / constants::kForecastShare;
+
+TEST(Order, PutsOffTheLargestWhenNotAllCanBeInTime) {
+  // Due after 10, 11 and 12 s; 4 + 9 + 4 s of work: without the one of 9 the others are in time.
+  EXPECT_EQ(places({waits(4, {10}), waits(9, {11}), waits(4, {12})}, kOneCpu),
+            (std::vector<std::size_t>{0, 2, 1}));
+  // The one of 9 counts for more: its class is small.
+  auto rare = waits(9, {11});
+  rare.weight = 4;
+  const auto p = places({waits(4, {10}), rare, waits(4, {12})}, kOneCpu);
+  EXPECT_LT(p[1], p[2]);
+}
+
+TEST(Order, ServesTheSmallestFirstWhileAllStayInTime) {
+  EXPECT_EQ(places({waits(5, {100}), waits(2, {200}), waits(9, {300})}, kOneCpu),
+            (std::vector<std::size_t>{1, 0, 2}));
+  // Unless the larger one would then be late.
+  EXPECT_EQ(places({waits(5, {5}), waits(2, {200})}, kOneCpu), (std::vector<std::size_t>{0, 1}));
+}
+
+TEST(Order, MeetsALaterAimWhenTheFirstIsMissed) {
+  // 8 s cannot be done by 5, but by 20.
+  const auto p = places({waits(8, {5, 20}), waits(4, {}, 1, 50), waits(3, {4})}, kOneCpu);
+  EXPECT_EQ(p, (std::vector<std::size_t>{1, 2, 0}));
+}
+
+TEST(Order, HighPriorityFirstAndTheHopelessByAge) {
+  const auto p = places(
+      {waits(1, {50}), waits(90, {1}, 2), waits(1, {}, 1, 10), waits(1, {}, 1, 20)}, kOneCpu);
+  EXPECT_EQ(p, (std::vector<std::size_t>{1, 0, 3, 2}));
+}
+
+TEST(Membership, ZonesWithoutAControllerGoToWhoHasTime) {
+  // One controller alone in its zone carries a third of the machines by that; the third zone is for
+  // the two that share one.
+  Settings s;
+  s.name = "p0";
+  s.zone = "x";
+  s.zones = {"x", "y", "z"};
+  s.peers = {{"p1", "y", ""}, {"p2", "x", ""}};
+  Membership m(s);
+  wire::ViewRecord view;
+  view.epoch = 1;
+  view.live = {{"p0", "a"}, {"p1", "b"}, {"p2", "c"}};
+  m.update(view);
+  std::map<std::string, int> owned;
+  for (int i = 0; i < 900; ++i)
+    ++owned[m.machine_owner("n-" + std::to_string(i), s.zones[static_cast<std::size_t>(i % 3)])];
+  for (const auto& [name, n] : owned) EXPECT_NEAR(n, 300, 40) << name;
+  // Alone, everything is its own.
+  view.live = {{"p1", "b"}};
+  ++view.epoch;
+  m.update(view);
+  EXPECT_EQ(m.machine_owner("n-1", "z"), "p1");
+}
+
 TEST(Fleet, RentsForTheDemandAndAvoidsRefusedKinds) {
   Settings s;
   s.objectives = {{"finished", "c", 0.9, 0, 120}};
