--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -92,6 +92,15 @@
   out.state = address(external, "state", "external.");
   const auto& s = table(root, "settings");
   c.controllers = static_cast<int>(number(s, "size", "settings.", 1));
+  if (const auto* zones = s.get_as<toml::array>("zones")) {
+    for (const auto& node : *zones) {
+      const auto zone = node.value_exact<std::string>();
+      if (!zone || zone->empty()) bad("settings.zones is not a list of names");
+      c.zones.push_back(*zone);
+    }
+  } else if (s.contains("zones")) {
+    bad("settings.zones is not a list of names");
+  }
   each(s, "teams", [&](const toml::table& t) {
     core::Team team;
     team.name = text(t, "name", "settings.teams.");
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -1,6 +1,7 @@
 #include "core/membership.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/constants.h"
 
@@ -29,20 +30,25 @@
 }
 }  // namespace
 
-std::string rendezvous(std::string_view key, const std::vector<std::string>& candidates) {
+std::string rendezvous(std::string_view key, const std::vector<std::string>& candidates,
+                       const std::vector<double>& shares) {
   const std::string* best = nullptr;
-  std::uint64_t best_weight = 0;
-  for (const auto& c : candidates) {
-    const std::uint64_t w = weight(key, c);
-    if (!best || w > best_weight) {
-      best = &c;
-      best_weight = w;
+  double best_score = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const double share = shares.empty() ? 1.0 : shares[i];
+    if (share <= 0) continue;
+    // Weighted highest random weight: a uniform number in (0, 1), by its logarithm.
+    const double u = (static_cast<double>(weight(key, candidates[i]) >> 11U) + 0.5) * 0x1p-53;
+    const double score = std::log(u) / share;  // negative: the nearest to zero wins
+    if (!best || score > best_score) {
+      best = &candidates[i];
+      best_score = score;
     }
   }
   return best ? *best : std::string();
 }
 
-Membership::Membership(const Settings& settings) {
+Membership::Membership(const Settings& settings) : zones_(settings.zones) {
   zone_of_[settings.name] = settings.zone;
   for (const auto& p : settings.peers) zone_of_[p.name] = p.zone;
 }
@@ -61,6 +67,25 @@
   for (const auto& name : owners_) {
     if (auto z = zone_of_.find(name); z != zone_of_.end()) by_zone_[z->second].push_back(name);
   }
+  // Zones count alike, since how many machines each will have is not known. Guards against a
+  // controller that is alone in its zone carrying nearly half of the fleet.
+  double all = 0;
+  std::vector<double> own(owners_.size(), 0.0);
+  for (std::size_t i = 0; i < owners_.size(); ++i) {
+    auto z = zone_of_.find(owners_[i]);
+    if (z == zone_of_.end()) continue;
+    if (std::find(zones_.begin(), zones_.end(), z->second) == zones_.end()) continue;
+    own[i] = 1.0 / static_cast<double>(by_zone_[z->second].size());
+  }
+  const double each =
+      owners_.empty() ? 0.0
+                      : static_cast<double>(zones_.size()) / static_cast<double>(owners_.size());
+  shares_.clear();
+  for (const double o : own) {
+    shares_.push_back(std::max(0.0, each - o));
+    all += shares_.back();
+  }
+  if (all <= 0) shares_.assign(owners_.size(), 1.0);
 }
 
 bool Membership::is_live(const std::string& name) const {
@@ -71,8 +96,8 @@
                                              const std::string& zone) const {
   if (auto it = owner_cache_.find(machine); it != owner_cache_.end()) return it->second;
   auto local = by_zone_.find(zone);
-  return owner_cache_[machine] =
-             rendezvous(machine, local == by_zone_.end() ? owners_ : local->second);
+  return owner_cache_[machine] = local == by_zone_.end() ? rendezvous(machine, owners_, shares_)
+                                                         : rendezvous(machine, local->second);
 }
 
 std::string Membership::range_owner(const std::string& key, const std::string& recorded) const {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -13,8 +13,10 @@
 
 namespace puffinhaven::core {
 
-// The live controller that a name is hashed to (highest random weight), or empty.
-std::string rendezvous(std::string_view key, const std::vector<std::string>& candidates);
+// The live controller that a name is hashed to (highest random weight), or empty. With shares, each
+// gets that part of all names; they are as many as the candidates and not all zero.
+std::string rendezvous(std::string_view key, const std::vector<std::string>& candidates,
+                       const std::vector<double>& shares = {});
 
 class Membership {
  public:
@@ -27,8 +29,9 @@
   const std::vector<std::string>& owners() const { return owners_; }
   bool is_live(const std::string& name) const;
 
-  // Machines go to live controllers of their own zone, if there are any, else to all: when zones
-  // are cut from each other, only a controller on the same side can keep a machine's lease.
+  // Machines go to live controllers of their own zone, if there are any: when zones are cut from
+  // each other, only a controller on the same side can keep a machine's lease. Those of other zones
+  // go to all, more of them to whom its own zone leaves more time.
   const std::string& machine_owner(const std::string& machine, const std::string& zone) const;
   // A range stays with the controller it was given to while that is live.
   std::string range_owner(const std::string& key, const std::string& recorded) const;
@@ -43,6 +46,8 @@
   std::vector<std::string> live_;
   std::vector<std::string> owners_;  // of those, the ones that workers can reach
   std::map<std::string, std::vector<std::string>> by_zone_;
+  std::vector<std::string> zones_;
+  std::vector<double> shares_;  // of the machines of zones without a controller, as owners_
   mutable std::map<std::string, std::string> owner_cache_;
 };
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -27,6 +27,7 @@
 struct Settings {
   std::string name, zone;
   std::vector<Peer> peers;
+  std::vector<std::string> zones;  // that machines may be in
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   int controllers = 1;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -96,6 +96,7 @@
                           {"deadline", "due", 0.9, 1.0, 0},
                           {"wait", "fast", 0.9, 0, 5}};
   settings_.controllers = 3;
+  settings_.zones = {"a", "b", "c"};
   settings_.report_s = 1;
   settings_.lease_s = 8 * options.believed_lease_share;
   settings_.gang_wait_s = 6;
