--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -45,6 +45,8 @@
       return;
     }
     if (const Job* job = replica_.job(id)) {
+      if (job->record.cancelled)
+        cancel_told_ = std::max(cancel_told_, store_.version(wire::job_key(id)));
       found(at, true, state_of(*job), job->done_tasks(), job->placed_tasks());
       return;
     }
@@ -240,6 +242,7 @@
            t.done = [this, request, id, tries](Ms then, Committed result, const auto&) {
              --waiting_requests_;
              if (result == Committed::yes) {
+               cancel_told_ = std::max(cancel_told_, store_.newest_revision());
                answer(request, 200, wire::job_state_body(id, wire::JobState::cancelled));
              } else if (result == Committed::conflict) {
                on_cancel(then, request, id, tries + 1);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -160,6 +160,11 @@
     at(t, [this] { new_job(); });
   for (const auto& p : options_.planned) at(p.at, [this, p] { trouble(p.kind, p.node, p.lasts); });
   for (Ms t = 1000; t < end; t += 1000) at(t, [this] { probe_health(); });
+  if (options_.cancel_all_at)
+    at(options_.cancel_all_at, [this] {
+      for (auto& [id, j] : jobs_)
+        if (j.accepted) cancel(id, 0);
+    });
   if (options_.troubles)
     for (Ms t = 6000; t < options_.busy_ms; t += 2500 + random(5000)) at(t, [this] { trouble(); });
   at(options_.busy_ms, [this] {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -63,6 +63,7 @@
   std::vector<Planned> planned;  // besides, or instead, of random ones
   int longest_task_s = 8;
   int free_team_tenths = 6;  // share of jobs of the team without a limit
+  Ms cancel_all_at = 0;      // users cancel all jobs then; 0: never
   double limit_cpus = 40;    // of team "tight"
   double mistaken = 0.03;    // share of jobs that fail on every machine
   double repeated = 0.02;    // share of requests of which a copy is executed again later
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -211,6 +211,36 @@
   EXPECT_GE(2 * back, lost);
 }
 
+// What is cancelled while a controller is cut off together with its machines is gone in time: it
+// renews their leases only as long as that allows.
+TEST(Simulation, CancelledWhileCutOffIsGoneInTime) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    const auto n = seed % 3;
+    Options o =
+        planned(seed, {seed % 2 == 0 ? Planned{20'000, Trouble::zone_cut, 1 + seed % 4 / 2, 60'000}
+                                     : Planned{20'000, Trouble::isolated, n, 60'000}});
+    o.longest_task_s = 90;
+    o.machines = 18;
+    o.capacity = 9;
+    o.cancel_all_at = 26'500;  // after others have taken over
+    const Result r = World(o).run();
+    EXPECT_TRUE(r.broken.empty()) << "seed " << seed << "\n" << list(r.broken);
+    EXPECT_TRUE(r.unfinished.empty()) << "seed " << seed << "\n" << list(r.unfinished);
+    EXPECT_GT(r.cancelled, 5);
+  }
+}
+
+// An outage that all share, longer than renewing alone would last: nothing is lost by leases.
+TEST(Simulation, SharedOutageEndsNoTask) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Options o = planned(seed, {{20'000, Trouble::state_outage, 0, 60'000}});
+    o.longest_task_s = 60;
+    const Result r = World(o).run();
+    EXPECT_TRUE(r.broken.empty()) << "seed " << seed << "\n" << list(r.broken);
+    EXPECT_EQ(r.lost_by_lease, 0) << "seed " << seed;
+  }
+}
+
 // Twenty times slower, the state service is asked no more often than it allows, and nothing is
 // lost.
 TEST(Simulation, SlowStateServiceIsNotStormed) {
