--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -222,6 +222,7 @@
     o.longest_task_s = 90;
     o.machines = 18;
     o.capacity = 9;
+    o.limit_cpus = 400;
     o.cancel_all_at = 26'500;  // after others have taken over
     const Result r = World(o).run();
     EXPECT_TRUE(r.broken.empty()) << "seed " << seed << "\n" << list(r.broken);
