--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -131,12 +131,6 @@
 // Milliseconds added to a lease before it counts as run out: timers fire late by a few.
 constexpr std::int64_t kLeaseMarginMs = 250;
 
-// Milliseconds by which renewing ends earlier than a cancellation that we may have missed requires:
-// the tasks must be seen to be gone in time.
-constexpr std::int64_t kRenewMarginMs = 1000;
-// Milliseconds by which times of day of two controllers may differ; settings say 25 each.
-constexpr std::int64_t kClocksApartMs = 100;
-
 // ---- state service ----
 // Milliseconds until an unanswered request counts as such; answers take 10 ms, rarely hundreds.
 constexpr std::int64_t kStateTimeoutMs = 2000;
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -300,8 +300,6 @@
   void tell_peers(Ms now);
   // A newer view exists that we cannot read: whoever it names gives the commands now.
   bool superseded(Ms now) const;
-  // Whether leases of workers may be renewed, by what we know of cancellations.
-  bool may_renew(Ms now) const;
 
   Settings settings_;
   pcg32 random_;
@@ -369,11 +367,7 @@
     bool state_answers = false;
     Ms answers_since = 0;  // has said so since
     std::uint64_t epoch = 0;
-    std::string incarnation;
-    Ms since = 0;               // first heard of this incarnation
-    Ms told_nothing_until = 0;  // of cancellations that we do not know, while without state
   };
-  std::uint64_t cancel_told_ = 0;  // newest revision of a cancellation that users were told of
   std::map<std::string, PeerState> peers_;
   Ms peers_at_ = 0;
   std::uint64_t newest_epoch_ = 0;  // of any view heard of
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -45,8 +45,6 @@
       return;
     }
     if (const Job* job = replica_.job(id)) {
-      if (job->record.cancelled)
-        cancel_told_ = std::max(cancel_told_, store_.version(wire::job_key(id)));
       found(at, true, state_of(*job), job->done_tasks(), job->placed_tasks());
       return;
     }
@@ -74,8 +72,12 @@
   });
 }
 
+// A cancellation is told once nothing of the job is left on any machine, by the records. Guards
+// against tasks that run on in a zone cut off together with a controller, which renews their leases
+// and cannot know: nobody was told that they are gone.
 wire::JobState Controller::state_of(const Job& job) const {
-  if (job.record.cancelled) return wire::JobState::cancelled;
+  if (job.record.cancelled && job.whole() && job.placed_tasks() == 0)
+    return wire::JobState::cancelled;
   return job.placed_tasks() > 0 ? wire::JobState::running : wire::JobState::queued;
 }
 
@@ -230,6 +232,10 @@
              decline(request, k::kRetryAfterS);
              return;
            }
+           if (job->record.cancelled) {  // on its way: its tasks are being stopped
+             decline(request, k::kRetryAfterS);
+             return;
+           }
            wire::JobRecord record = job->record;
            record.cancelled = true;
            Transaction t;
@@ -241,9 +247,12 @@
            ++waiting_requests_;
            t.done = [this, request, id, tries](Ms then, Committed result, const auto&) {
              --waiting_requests_;
-             if (result == Committed::yes) {
-               cancel_told_ = std::max(cancel_told_, store_.newest_revision());
+             const Job* now_cancelled = replica_.job(id);
+             if (result == Committed::yes && now_cancelled &&
+                 state_of(*now_cancelled) == wire::JobState::cancelled) {
                answer(request, 200, wire::job_state_body(id, wire::JobState::cancelled));
+             } else if (result == Committed::yes) {
+               decline(request, k::kRetryAfterS);
              } else if (result == Committed::conflict) {
                on_cancel(then, request, id, tries + 1);
              } else {
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -35,7 +35,7 @@
     answer(request, 400, wire::error_body("malformed report"));
     return;
   }
-  if (!store_.loaded() || !view_known_ || superseded(now) || waking(now) || !may_renew(now)) {
+  if (!store_.loaded() || !view_known_ || superseded(now) || waking(now)) {
     decline(request, k::kRetryAfterS);
     return;
   }
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -101,9 +101,7 @@
     keep_hold(now);
     // While nothing else is asked, a barrier read tells whether the service answers.
     const Ms quiet = now - std::max(last_answer_, last_failure_);
-    const bool probe = answering(now)
-                           ? quiet > k::kExtendEveryMs || now - known_until_ > k::kExtendEveryMs
-                           : quiet > k::kProbeEveryMs;
+    const bool probe = answering(now) ? quiet > k::kExtendEveryMs : quiet > k::kProbeEveryMs;
     if ((probe || !barriers_.empty()) && !barrier_in_flight_ && now >= next_barrier_)
       send_barrier(now);
   }
@@ -249,13 +247,12 @@
   auto batch = std::make_shared<std::vector<Barrier>>(std::move(barriers_));
   barriers_.clear();
   call("GET", wire::item_path(kBarrierKey), "",
-       [this, batch, wakes = wakes_, asked = now](Ms at, const Outcome& outcome) {
+       [this, batch, wakes = wakes_](Ms at, const Outcome& outcome) {
          barrier_in_flight_ = false;
          std::uint64_t revision = 0;
          if (wakes == wakes_ && outcome.status == 404 &&
              wire::parse_revision(outcome.body, revision)) {
            told(at, revision);
-           marks_.emplace_back(revision, asked);
            for (auto& b : *batch) barrier_wait_.push_back({revision, std::move(b)});
            release_barriers(at);
            return;
@@ -265,11 +262,6 @@
 }
 
 void Store::release_barriers(Ms now) {
-  std::erase_if(marks_, [this](const auto& mark) {
-    if (mark.first > watched_) return false;
-    known_until_ = std::max(known_until_, mark.second);
-    return true;
-  });
   std::vector<Barrier> ready;
   for (std::size_t i = 0; i < barrier_wait_.size();) {
     if (barrier_wait_[i].revision <= watched_) {
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -2,7 +2,6 @@
 // shared barrier reads, and a hold.
 #pragma once
 
-#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -54,11 +53,6 @@
   // Nothing at all comes from the service, not even a refusal.
   bool silent(Ms now) const;
   Ms last_answer() const { return last_answer_; }
-  // Everything written before this moment is known here.
-  Ms known_until() const { return known_until_; }
-  // Newest revision that is known here or that any answer has named.
-  std::uint64_t newest_revision() const { return std::max(told_revision_, watched_); }
-  std::uint64_t watched_revision() const { return watched_; }
   bool hold_valid() const { return permit_ != 0; }
   std::uint64_t permit() const { return permit_; }
   std::uint64_t version(const std::string& key) const;
@@ -130,10 +124,8 @@
   double write_tokens_ = 0;
   Ms write_refilled_ = 0;
 
-  std::vector<Barrier> barriers_;                    // to be read
-  std::vector<Waiting> barrier_wait_;                // read, waiting for the watch
-  std::vector<std::pair<std::uint64_t, Ms>> marks_;  // revision read, when it was asked for
-  Ms known_until_ = 0;
+  std::vector<Barrier> barriers_;      // to be read
+  std::vector<Waiting> barrier_wait_;  // read, waiting for the watch
   bool barrier_in_flight_ = false;
   Ms next_barrier_ = 0;
 
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -65,13 +65,12 @@
 }  // namespace
 
 std::string encode(const PeerHint& hint) {
-  Item map(cbor_new_definite_map(7));
+  Item map(cbor_new_definite_map(6));
   bool ok = add(map.get(), "from", text(hint.from));
   ok = ok && add(map.get(), "incarnation", text(hint.incarnation));
   ok = ok && add(map.get(), "epoch", Item(cbor_build_uint64(hint.epoch)));
   ok = ok && add(map.get(), "state", Item(cbor_build_bool(hint.state_answers)));
   ok = ok && add(map.get(), "free", Item(cbor_build_float8(hint.free_cpus)));
-  ok = ok && add(map.get(), "cancelled", Item(cbor_build_uint64(hint.cancelled)));
   ok = ok && add(map.get(), "sent", Item(cbor_build_uint64(hint.sent_ms)));
   if (!ok) return {};
   unsigned char* data = nullptr;
@@ -88,8 +87,7 @@
   if (!item || result.error.code != CBOR_ERR_NONE || !cbor_isa_map(item.get())) return false;
   return read(item.get(), "from", hint.from) && read(item.get(), "incarnation", hint.incarnation) &&
          read(item.get(), "epoch", hint.epoch) && read(item.get(), "state", hint.state_answers) &&
-         read(item.get(), "free", hint.free_cpus) &&
-         read(item.get(), "cancelled", hint.cancelled) && read(item.get(), "sent", hint.sent_ms);
+         read(item.get(), "free", hint.free_cpus) && read(item.get(), "sent", hint.sent_ms);
 }
 
 }  // namespace puffinhaven::wire
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -10,11 +10,10 @@
 struct PeerHint {
   std::string from;
   std::string incarnation;
-  std::uint64_t epoch = 0;      // of the newest view the sender knows
-  bool state_answers = false;   // the state service answers the sender
-  double free_cpus = 0;         // free room of its part
-  std::uint64_t cancelled = 0;  // newest revision of a cancellation that the sender has told of
-  std::uint64_t sent_ms = 0;    // time of day at which it was sent, milliseconds
+  std::uint64_t epoch = 0;     // of the newest view the sender knows
+  bool state_answers = false;  // the state service answers the sender
+  double free_cpus = 0;        // free room of its part
+  std::uint64_t sent_ms = 0;   // time of day at which it was sent, milliseconds
 };
 
 std::string encode(const PeerHint& hint);
