--- /dev/null
+++ b/tests/sim/actors.h
@@ -0,0 +1,91 @@
+// What the parts of the simulated world share: controllers, the cloud, workers and users' jobs.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sim/world.h"
+#include "wire/messages.h"
+
+namespace puffinhaven::sim {
+
+using wire::ExitCause;
+using wire::TaskState;
+
+constexpr Ms kTickMs = 25;
+constexpr Ms kWorkerStepMs = 50;
+constexpr double kFetchMs = 400;
+inline const char* const kZones[] = {"a", "b", "c"};  // no controller in c
+
+inline std::string pad(int n) {
+  std::string s = std::to_string(n);
+  return std::string(s.size() < 6 ? 6 - s.size() : 0, '0') + s;
+}
+
+struct World::Node {
+  std::string name, zone;
+  std::unique_ptr<core::Controller> controller;
+  std::uint64_t generation = 0;
+  bool refused_by_state = false, cut_from_workers = false, cut_from_state = false;
+  bool cut_from_peers = false;
+  Ms isolated_since = 0;
+  bool still = false;
+  std::vector<std::function<void(core::Controller&)>> held;        // what came while it stood still
+  std::map<std::uint64_t, std::pair<std::string, Respond>> asked;  // request -> path, answer
+};
+
+struct World::Cloud {
+  struct Machine {
+    std::string zone;
+    bool spot = false, failed = false;
+    Ms rented = 0, up = 0, listed = 0;
+  };
+  std::map<std::string, Machine> machines;
+  std::map<std::string, std::vector<std::string>> hires;
+  bool outage = false;
+};
+
+struct World::Worker {
+  struct Task {
+    std::uint64_t attempt = 0;
+    TaskState state = TaskState::fetching;
+    ExitCause cause = ExitCause::none;
+    bool saved = false;
+    Ms since = 0;  // of the state
+    double work_ms = 0;
+    bool present = false;  // has its image, has not exited: it is on the machine
+    double grace_ms = 0;
+    Ms alone_at = 0;
+  };
+  std::string id, zone, address;
+  bool spot = false, up = false, dead = false, hanging = false, sick = false;
+  Ms deaf_since = 0;
+  std::uint64_t life = 1;
+  std::uint64_t session = 1, sequence = 0, token = 0;
+  Ms lease_from = 0, report_at = 0, waits_until = 0;
+  bool reporting = false, changed = false;
+  std::uint64_t report_number = 0;
+  std::size_t node = 0;
+  Ms notice_ends = 0;
+  std::map<wire::TaskId, Task> tasks;
+};
+
+struct World::UserJob {
+  wire::JobSpec spec;
+  double work_ms = 0;
+  bool mistake = false;  // fails on every machine
+  bool accepted = false, told_done = false, told_cancelled = false, asked_cancel = false;
+  Ms cancelled_at = 0, told_at = 0, answered_at = 0, submitted_at = 0, begun_at = 0;
+  std::map<std::uint32_t, double> progress;  // saved, per task
+  double gang_progress = 0;
+  std::set<std::uint32_t> completed;
+  std::map<std::uint64_t, Ms> gang_first_stop;  // by attempt
+};
+
+}  // namespace puffinhaven::sim
--- /dev/null
+++ b/tests/sim/machines.cpp
@@ -0,0 +1,330 @@
+// Workers: reports, leases, commands, and tasks as they go on.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+#include "sim/actors.h"
+#include "sim/world.h"
+#include "wire/messages.h"
+#include "wire/store.h"
+
+namespace puffinhaven::sim {
+
+void World::add_machine(const std::string& zone, bool spot, Ms up_at, const std::string& hire) {
+  auto w = std::make_unique<Worker>();
+  w->id = "n-" + pad(next_machine_++);
+  w->zone = zone;
+  w->spot = spot;
+  w->address = w->id + ":1";
+  w->node = static_cast<std::size_t>(random(3));
+  cloud_->machines[w->id] = {zone, spot, false, now_, up_at, now_ + random(2000)};
+  if (!hire.empty()) cloud_->hires[hire].push_back(w->id);
+  const std::string id = w->id;
+  workers_[id] = std::move(w);
+  at(up_at, [this, id] {
+    Worker& x = *workers_.at(id);
+    if (x.dead) return;
+    x.up = true;
+    x.lease_from = now_;
+    worker_tick(id, x.life);
+  });
+}
+
+void World::worker_lease(Worker& w) {
+  // The worker's clock may be as much as 0.05% fast or slow; it keeps its tasks a little longer.
+  const auto lease = static_cast<Ms>(8000 * 1.0005);
+  if (now_ - w.lease_from <= lease) return;
+  trace(w.id + " lease over, session " + std::to_string(w.session + 1));
+  for (const auto& [task, t] : w.tasks)
+    if (t.present && t.state != TaskState::exited) job_lost(task);
+  w.tasks.clear();
+  ++w.session;
+  w.lease_from = now_;
+  w.changed = true;
+}
+
+void World::worker_tick(const std::string& id, std::uint64_t life) {
+  Worker& w = *workers_.at(id);
+  if (w.dead || w.life != life) return;
+  if (!w.hanging) {
+    worker_lease(w);
+    worker_step(w);
+    const bool due = now_ >= w.report_at;
+    if (!w.reporting && now_ >= w.waits_until && due) worker_report(w);
+  }
+  at(now_ + kWorkerStepMs, [this, id, life] { worker_tick(id, life); });
+}
+
+std::string World::worker_body(Worker& w) {
+  Put p;
+  p.str("rig", w.id);
+  p.str("endpoint", w.address);
+  p.str("fleet", "t");
+  p.str("yard", w.zone);
+  p.raw("standby", w.spot ? "true" : "false");
+  p.num("shift", w.session);
+  p.num("tally", ++w.sequence);
+  p.num("baton", w.token);
+  p.raw("warningS", w.notice_ends
+                        ? std::to_string(static_cast<double>(w.notice_ends - now_) / 1000.0)
+                        : "null");
+  static const char* states[] = {"fetching", "gathering", "running", "saving", "exited"};
+  static const char* causes[] = {"",      "done",    "stopped", "peers",  "alone",
+                                 "error", "no_room", "busy",    "no_such"};
+  std::string list;
+  for (const auto& [task, t] : w.tasks) {
+    Put l;
+    l.str("load", wire::task_name(task.job, task.index));
+    l.num("try", t.attempt);
+    l.str("status", states[static_cast<int>(t.state)]);
+    if (t.state == TaskState::exited) l.str("cause", causes[static_cast<int>(t.cause)]);
+    if (t.saved) l.raw("saved", "true");
+    list += (list.empty() ? "" : ",") + l.done();
+  }
+  p.raw("loads", "[" + list + "]");
+  return p.done();
+}
+
+void World::worker_report(Worker& w) {
+  w.reporting = true;
+  const std::uint64_t number = ++w.report_number;
+  const Ms sent = now_;
+  const std::uint64_t session = w.session;
+  const std::string id = w.id, body = worker_body(w);
+  if (now_ < late_copies_until_ && chance(0.3)) {
+    at(now_ + 1000 + random(24'000), [this, body] {
+      const auto i = static_cast<std::size_t>(random(3));
+      input(i, [this, body](core::Controller& c) {
+        c.on_request(now_, next_request_++, {"POST", "/hello", body});
+      });
+    });
+  }
+  at(now_ + hop(), [this, id, number, sent, session, body] {
+    Worker& x = *workers_.at(id);
+    ask_node(
+        x.node, {"POST", "/hello", body}, x.zone,
+        [this, id, number, sent, session](int status, const std::string& answer) {
+          Worker& me = *workers_.at(id);
+          if (me.dead || number != me.report_number || !me.reporting) return;
+          me.reporting = false;
+          if (me.hanging) return;
+          if (me.deaf_since) status = 0;
+          me.report_at = now_ + (me.changed ? 500 : 750 + random(500));
+          me.changed = false;
+          rapidjson::Document doc;
+          if (status == 200 && wire::parse_object(answer, doc) && doc.HasMember("baton")) {
+            if (session != me.session || now_ - sent > 4000) return;
+            const std::uint64_t token = doc["baton"].GetUint64();
+            if (token < me.token && !options_.workers_ignore_tokens) return;
+            me.token = std::max(me.token, token);
+            me.lease_from = std::max(me.lease_from, sent);
+            worker_commands(me, doc["orders"]);
+            return;
+          }
+          if (status == 421 && wire::parse_object(answer, doc) && doc.HasMember("dispatcher")) {
+            for (std::size_t j = 0; j < nodes_.size(); ++j) {
+              if (nodes_[j]->name == doc["dispatcher"].GetString() && j != me.node) {
+                me.node = j;
+                me.report_at = me.waits_until = now_ + random(500);
+                return;
+              }
+            }
+          }
+          me.node = (me.node + 1) % nodes_.size();
+          me.report_at = me.waits_until = now_ + 1000;
+        });
+  });
+}
+
+void World::worker_commands(Worker& w, const wire::Json& orders) {
+  for (const auto& o : orders.GetArray()) {
+    wire::TaskId task;
+    if (!wire::parse_task_name(o["load"].GetString(), task)) continue;
+    const std::uint64_t attempt = o["try"].GetUint64();
+    const std::string verb = o["verb"].GetString();
+    auto it = w.tasks.find(task);
+    if (verb == "start") {
+      if (it != w.tasks.end() && it->second.attempt == attempt) continue;
+      ++result_.starts;
+      if (w.deaf_since && now_ - w.deaf_since > 8000) ++result_.quarantined_starts;
+      auto job = jobs_.find(task.job);
+      Worker::Task t;
+      t.attempt = attempt;
+      t.since = now_;
+      double cpus = 0;
+      for (const auto& [id, other] : w.tasks)
+        if (other.state != TaskState::exited) cpus += jobs_.at(id.job).spec.cpus;
+      if (it != w.tasks.end()) {
+        // This stand-in keeps one attempt of a task: the refusal is not listed beside it.
+        if (it->second.state != TaskState::exited) continue;
+        t.state = TaskState::fetching;
+      }
+      if (job == jobs_.end()) {
+        t.state = TaskState::exited;
+        t.cause = ExitCause::unknown;
+      } else if (cpus + job->second.spec.cpus > 8 + 1e-9) {
+        t.state = TaskState::exited;
+        t.cause = ExitCause::no_room;
+      }
+      w.tasks[task] = t;
+      w.changed = true;
+    } else if (it == w.tasks.end() || it->second.attempt != attempt) {
+      continue;
+    } else if (verb == "clear") {
+      if (it->second.state == TaskState::exited) w.tasks.erase(it);
+    } else {
+      auto& t = it->second;
+      if (t.state == TaskState::exited) continue;
+      auto& job = jobs_.at(task.job);
+      const double grace = o["leewayS"].GetDouble();
+      const bool saves = job.spec.checkpoint_s > 0 && grace >= job.spec.save_s;
+      if (t.state == TaskState::running && saves) {
+        if (job.spec.gang) job.gang_first_stop.emplace(attempt, now_);
+        t.state = TaskState::saving;
+        t.since = now_;
+        w.changed = true;
+      } else if (t.state != TaskState::saving || grace <= 0) {
+        end_task(w, task, attempt, ExitCause::stopped, false);
+      }
+    }
+  }
+}
+
+// Its work is to begin elsewhere as soon as that is provable.
+void World::job_lost(const wire::TaskId& task) {
+  const UserJob& job = jobs_.at(task.job);
+  if (job.spec.gang || job.asked_cancel || job.completed.contains(task.index)) return;
+  lost_[task] = now_;
+  ++result_.lost_by_lease;
+}
+
+void World::end_task(Worker& w, const wire::TaskId& task, std::uint64_t attempt, ExitCause cause,
+                     bool saved) {
+  auto it = w.tasks.find(task);
+  if (it == w.tasks.end() || it->second.attempt != attempt) return;
+  it->second.state = TaskState::exited;
+  it->second.cause = cause;
+  it->second.saved = saved;
+  it->second.present = false;
+  w.changed = true;
+  w.report_at = std::min(w.report_at, now_ + 250);
+  if (saved) ++result_.stopped_saved;
+}
+
+void World::worker_step(Worker& w) {
+  if (w.notice_ends && now_ >= w.notice_ends) {
+    w.dead = true;
+    w.tasks.clear();
+    cloud_->machines.erase(w.id);
+    return;
+  }
+  const std::vector<wire::TaskId> ids = [&] {
+    std::vector<wire::TaskId> v;
+    for (const auto& [task, t] : w.tasks) v.push_back(task);
+    return v;
+  }();
+  for (const auto& task : ids) {
+    auto& t = w.tasks.at(task);
+    if (t.state == TaskState::exited) continue;
+    auto& job = jobs_.at(task.job);
+    switch (t.state) {
+      case TaskState::fetching:
+        if (now_ - t.since < kFetchMs) break;
+        check_start(w, task);
+        if (job.begun_at == 0) job.begun_at = now_;
+        if (auto lost = lost_.find(task); lost != lost_.end()) {
+          result_.back_in_cut += cut_zone_.empty() ? 0 : 1;
+          lost_.erase(lost);
+        }
+        t.present = true;
+        t.since = now_;
+        if (w.sick || job.mistake) {
+          end_task(w, task, t.attempt, ExitCause::error, false);
+        } else if (job.completed.contains(task.index)) {
+          end_task(w, task, t.attempt, ExitCause::done, false);
+        } else {
+          t.state = job.spec.gang ? TaskState::waiting : TaskState::running;
+          t.work_ms = job.progress[task.index];
+          w.changed = true;
+        }
+        break;
+      case TaskState::waiting:
+        if (now_ - t.since > static_cast<Ms>(settings_.gang_wait_s * 1000))
+          end_task(w, task, t.attempt, ExitCause::alone, false);
+        break;
+      case TaskState::running:
+        if (job.spec.gang) break;  // with its peers
+        t.work_ms += kWorkerStepMs;
+        if (job.spec.checkpoint_s > 0) {
+          const double interval = job.spec.checkpoint_s * 1000;
+          job.progress[task.index] =
+              std::max(job.progress[task.index], std::floor(t.work_ms / interval) * interval);
+        }
+        if (t.work_ms >= job.work_ms) {
+          job.completed.insert(task.index);
+          end_task(w, task, t.attempt, ExitCause::done, false);
+        }
+        break;
+      case TaskState::saving:
+        if (now_ - t.since >= static_cast<Ms>(job.spec.save_s * 1000)) {
+          job.progress[task.index] = std::max(job.progress[task.index], t.work_ms);
+          end_task(w, task, t.attempt, ExitCause::stopped, true);
+        }
+        break;
+      case TaskState::exited:
+        break;
+    }
+  }
+}
+
+// Tasks of a gang find one another by attempt, start together, and end together.
+void World::gang_step() {
+  for (auto& [id, job] : jobs_) {
+    if (!job.spec.gang) continue;
+    std::map<std::uint64_t, std::vector<std::pair<Worker*, wire::TaskId>>> attempts;
+    for (auto& [wid, w] : workers_) {
+      if (w->dead || !w->up) continue;
+      for (auto& [task, t] : w->tasks)
+        if (task.job == id && t.state != TaskState::exited)
+          attempts[t.attempt].push_back({w.get(), task});
+    }
+    for (auto& [attempt, members] : attempts) {
+      auto state = [&](const auto& m) -> Worker::Task& { return m.first->tasks.at(m.second); };
+      const bool whole = members.size() == job.spec.tasks;
+      const auto count = [&](TaskState s) {
+        return std::count_if(members.begin(), members.end(),
+                             [&](const auto& m) { return state(m).state == s; });
+      };
+      const bool frozen = std::any_of(members.begin(), members.end(),
+                                      [](const auto& m) { return m.first->hanging; });
+      if (whole && count(TaskState::waiting) == static_cast<long>(job.spec.tasks) && !frozen) {
+        for (auto& m : members) {
+          state(m).state = TaskState::running;
+          state(m).work_ms = job.gang_progress;
+          m.first->changed = true;
+        }
+      } else if (count(TaskState::running) > 0 && (!whole || frozen)) {
+        for (auto& m : members) {
+          auto& t = state(m);
+          if (t.state != TaskState::running) continue;
+          if (t.alone_at == 0) t.alone_at = now_ + static_cast<Ms>(settings_.gang_peer_s * 1000);
+          if (now_ >= t.alone_at && !m.first->hanging)
+            end_task(*m.first, m.second, attempt, ExitCause::peers, false);
+        }
+      } else if (whole && count(TaskState::running) == static_cast<long>(job.spec.tasks)) {
+        for (auto& m : members) state(m).work_ms += 20;
+        const double work = state(members.front()).work_ms;
+        if (job.spec.checkpoint_s > 0) {
+          const double interval = job.spec.checkpoint_s * 1000;
+          job.gang_progress = std::max(job.gang_progress, std::floor(work / interval) * interval);
+        }
+        if (work >= job.work_ms) {
+          for (std::uint32_t i = 0; i < job.spec.tasks; ++i) job.completed.insert(i);
+          for (auto& m : members) end_task(*m.first, m.second, attempt, ExitCause::done, false);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace puffinhaven::sim
--- /dev/null
+++ b/tests/sim/troubles.cpp
@@ -0,0 +1,214 @@
+// Troubles, and what is counted at the end.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+#include "sim/actors.h"
+#include "sim/world.h"
+#include "wire/messages.h"
+#include "wire/store.h"
+
+namespace puffinhaven::sim {
+
+void World::trouble() {
+  const auto n = static_cast<std::size_t>(random(3));
+  const Ms lasts = chance(0.2) ? 10'000 + random(30'000) : 2000 + random(14'000);
+  trouble(static_cast<Trouble>(random(static_cast<int>(Trouble::count))), n, lasts);
+}
+
+void World::trouble(Trouble kind, std::size_t n, Ms lasts) {
+  if (calm_) return;
+  auto machine = [this]() -> Worker* {
+    std::vector<Worker*> up;
+    for (auto& [id, w] : workers_)
+      if (w->up && !w->dead) up.push_back(w.get());
+    return up.empty() ? nullptr : up[static_cast<std::size_t>(random(static_cast<int>(up.size())))];
+  };
+  trace("trouble " + std::to_string(static_cast<int>(kind)) + " node " + std::to_string(n) +
+        " for " + std::to_string(lasts));
+  switch (kind) {
+    case Trouble::crash_one:
+      crash_node(n);
+      break;
+    case Trouble::crash_all:
+      for (std::size_t i = 0; i < 3; ++i) crash_node(i);
+      break;
+    case Trouble::quick_restart:
+      // Again while it joins.
+      crash_node(n, 30 + random(300));
+      at(now_ + 350 + random(500), [this, n] {
+        if (!calm_) crash_node(n, 30 + random(300));
+      });
+      break;
+    case Trouble::state_outage:
+      state_->outage = true;
+      at(now_ + lasts / 2, [this] {
+        if (state_->outage)  // every lease has its full time again
+          for (auto& [p, h] : state_->holds) h.first = now_ + h.second;
+        state_->outage = false;
+      });
+      if (options_.troubles && chance(0.4)) crash_node(n);
+      break;
+    case Trouble::state_refuses_one:
+      nodes_[n]->refused_by_state = true;
+      at(now_ + lasts, [this, n] { nodes_[n]->refused_by_state = false; });
+      break;
+    case Trouble::cut_from_state:
+      nodes_[n]->cut_from_state = true;
+      at(now_ + lasts, [this, n] { nodes_[n]->cut_from_state = false; });
+      break;
+    case Trouble::isolated:
+      nodes_[n]->cut_from_state = nodes_[n]->cut_from_peers = true;
+      nodes_[n]->isolated_since = now_;
+      at(now_ + lasts, [this, n] {
+        nodes_[n]->cut_from_state = nodes_[n]->cut_from_peers = false;
+        nodes_[n]->isolated_since = 0;
+      });
+      break;
+    case Trouble::cut_from_workers:
+      nodes_[n]->cut_from_workers = true;
+      at(now_ + lasts, [this, n] { nodes_[n]->cut_from_workers = false; });
+      break;
+    case Trouble::zones_apart:
+      zones_apart_ = true;
+      at(now_ + lasts, [this] { zones_apart_ = false; });
+      break;
+    case Trouble::stands_still:
+      nodes_[n]->still = true;
+      at(now_ + lasts, [this, n, generation = nodes_[n]->generation] {
+        if (nodes_[n]->generation == generation) wake_node(n);
+      });
+      break;
+    case Trouble::zone_cut:
+      // Zone c has no controller, a two, b one.
+      cut_zone_ = kZones[(n + 2) % 3];
+      at(now_ + lasts, [this] { cut_zone_.clear(); });
+      break;
+    case Trouble::peers_refuse:
+      peers_refuse_ = true;
+      at(now_ + lasts, [this] { peers_refuse_ = false; });
+      break;
+    case Trouble::state_slow:
+      state_slower_ = 20;
+      at(now_ + lasts, [this] { state_slower_ = 1; });
+      break;
+    case Trouble::spot_wave:
+      for (auto& [id, w] : workers_)
+        if (w->spot && w->up && !w->dead && chance(0.33))
+          w->notice_ends = now_ + (chance(0.3) ? 1 : 1000 + random(4000));
+      break;
+    case Trouble::rolling_restart:
+      for (std::size_t i = 0; i < 3; ++i)
+        at(now_ + static_cast<Ms>(i) * 5000, [this, i] {
+          if (!calm_) crash_node(i);
+        });
+      break;
+    case Trouble::job_burst:
+      for (Ms t = 0; t < lasts / 2; t += 400)
+        at(now_ + t, [this] {
+          if (!calm_) new_job();
+        });
+      break;
+    case Trouble::late_copies:
+      late_copies_until_ = now_ + lasts;
+      break;
+    case Trouble::machine_hangs:
+      if (Worker* w = machine()) {
+        w->hanging = true;
+        w->reporting = false;
+        at(now_ + lasts, [this, id = w->id] { workers_.at(id)->hanging = false; });
+      }
+      break;
+    case Trouble::machine_deaf:
+      if (Worker* w = machine(); w && w->deaf_since == 0) {
+        w->deaf_since = now_;
+        at(now_ + lasts, [this, id = w->id] { workers_.at(id)->deaf_since = 0; });
+      }
+      break;
+    case Trouble::machine_restarts:
+      if (Worker* w = machine()) {
+        w->up = w->reporting = false;
+        w->tasks.clear();
+        w->session = 1;
+        w->sequence = w->token = 0;
+        ++w->report_number;
+        ++w->life;
+        at(now_ + 50 + random(600), [this, id = w->id] {
+          Worker& x = *workers_.at(id);
+          if (x.dead) return;
+          x.up = true;
+          x.lease_from = now_;
+          x.report_at = x.waits_until = now_;
+          worker_tick(id, x.life);
+        });
+      }
+      break;
+    case Trouble::machine_dies:
+      if (Worker* w = machine()) {
+        w->dead = true;
+        w->tasks.clear();
+        at(now_ + 5000, [this, id = w->id] {
+          auto m = cloud_->machines.find(id);
+          if (m != cloud_->machines.end()) m->second.failed = true;
+        });
+      }
+      break;
+    case Trouble::machine_noticed:
+      if (Worker* w = machine()) w->notice_ends = now_ + 2000 + random(3000);
+      break;
+    case Trouble::machine_sick:
+      if (Worker* w = machine()) w->sick = true;
+      break;
+    case Trouble::cloud_outage:
+    case Trouble::count:
+      cloud_->outage = true;
+      at(now_ + lasts, [this] { cloud_->outage = false; });
+      break;
+  }
+}
+
+void World::count_served() {
+  constexpr Ms kBeginWithin = 240'000;  // PROTOCOL's additions: four minutes
+  std::map<std::string, std::vector<const UserJob*>> classes;
+  for (const auto& [id, j] : jobs_) {
+    // Those of the last minutes may well be on their way.
+    if (!j.accepted || j.mistake || j.asked_cancel || now_ - j.submitted_at < kBeginWithin)
+      continue;
+    classes[j.spec.job_class].push_back(&j);
+  }
+  auto count = [this](const std::string& what, const UserJob& j) {
+    auto& [all, done] = result_.served[what];
+    ++all;
+    done += j.told_done ? 1 : 0;
+  };
+  for (auto& [name, list] : classes) {
+    std::sort(list.begin(), list.end(), [](const UserJob* a, const UserJob* b) {
+      return a->spec.tasks * a->spec.cpus * a->work_ms > b->spec.tasks * b->spec.cpus * b->work_ms;
+    });
+    for (const auto* j : list) {
+      count("class " + name, *j);
+      count("team " + j->spec.team, *j);
+    }
+    for (std::size_t i = 0; i < (list.size() + 9) / 10; ++i) {
+      const UserJob& j = *list[i];
+      count("largest " + name, j);
+      ++result_.largest_seen;
+      if (j.begun_at == 0 || j.begun_at - j.submitted_at > kBeginWithin) ++result_.largest_late;
+    }
+  }
+}
+
+void World::probe_health() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    const bool isolated = nodes_[i]->isolated_since && now_ - nodes_[i]->isolated_since > 10'000;
+    const bool outage = state_->outage;
+    if (!isolated && !outage) continue;
+    ask_node(i, {"GET", "/healthz", ""}, "", [this, isolated](int status, const std::string&) {
+      if (status == 0) return;
+      (isolated ? (status == 200 ? result_.isolated_healthy : result_.isolated_unhealthy)
+                : (status == 200 ? result_.outage_healthy : result_.outage_unhealthy)) += 1;
+    });
+  }
+}
+
+}  // namespace puffinhaven::sim
