--- a/src/core/commands.cpp
+++ b/src/core/commands.cpp
@@ -48,7 +48,7 @@
       if (known->known && !known->record.cancelled && h != m.halts.end() &&
           h->second.first == seen.attempt) {
         grace = h->second.second;
-      } else if (known->known && !known->record.cancelled && known->record.spec.gang) {
+      } else if (known->known && !known->record.cancelled && known->record.spec.is_gang()) {
         grace = saves ? known->record.spec.save_s + settings_.gang_peer_s : 0;
       } else {
         grace = 0;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -13,7 +13,7 @@
 double Fleet::parallel(const Demand& d) const {
   const wire::JobSpec& job = *d.job;
   const auto tasks = static_cast<double>(d.tasks);
-  if (job.gang) return job.tasks;
+  if (job.is_gang()) return job.tasks;
   double horizon = k::kDefaultHorizonS;
   for (const auto& o : settings_.objectives) {
     if (o.job_class != job.job_class) continue;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -130,14 +130,14 @@
   if (zones.empty()) return "a task fits no allowed machine type";
   // Guards against tasks without number on one machine, beside every limit.
   if (spec.cpus <= 0 && spec.gpus <= 0) return "a task needs cpus or gpus";
-  const double n = spec.gang ? spec.tasks : 1;
+  const double n = spec.is_gang() ? spec.tasks : 1;
   if ((t->cpus_max > 0 && n * spec.cpus > t->cpus_max) ||
       (t->gpus_max > 0 && n * spec.gpus > t->gpus_max))
     return "needs more than the team's limit";
-  if (spec.gang && spec.tasks > placed_most(spec.tasks)) return "gang is too large";
-  if (spec.gang && spec.one_zone && spec.spread && spec.tasks > 1)
+  if (spec.is_gang() && spec.tasks > placed_most(spec.tasks)) return "gang is too large";
+  if (spec.is_gang() && spec.one_zone && spec.spread && spec.tasks > 1)
     return "together and scatter exclude each other";
-  if (spec.gang && spec.spread && spec.tasks > 1 && zones.size() < 2)
+  if (spec.is_gang() && spec.spread && spec.tasks > 1 && zones.size() < 2)
     return "scatter needs a second zone";
   return "";
 }
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -52,7 +52,7 @@
       part->second.load += waiting * scale;
     }
   }
-  const bool whole = spec.gang || spec.one_zone || spec.spread;
+  const bool whole = spec.is_gang() || spec.one_zone || spec.spread;
   std::string first = rendezvous(wire::job_key(spec.id), membership_.owners());
   // Step by step to the part with most room left, then to the one least loaded for its size. A step
   // is several tasks: each part that takes some has records to write for as long as they run.
@@ -113,7 +113,7 @@
   std::uint32_t best_first = 0;
   for (const auto& [id, job] : replica_.jobs()) {
     const auto& spec = job.record.spec;
-    if (!job.known || job.record.cancelled || spec.gang || spec.one_zone || spec.spread ||
+    if (!job.known || job.record.cancelled || spec.is_gang() || spec.one_zone || spec.spread ||
         job.done_tasks() + job.placed_tasks() >= spec.tasks || !job.whole() ||
         health_.not_before(id) > now)
       continue;
@@ -236,7 +236,7 @@
   }
   if (w.freed_since == 0) w.freed_since = now;
   const Job* job = replica_.job(id.job);
-  if (!job || job->record.cancelled || job->record.spec.gang) return true;
+  if (!job || job->record.cancelled || job->record.spec.is_gang()) return true;
   const Ms waited = now - w.freed_since;
   return (waited >= k::kEndsWithinMs && room) || waited >= 3 * k::kEndsWithinMs ||
          (waited >= k::kEndsGatherMs && store_.spare(now));
@@ -264,7 +264,7 @@
     }
     next.placed.erase(p);
     if (it->second.done) {
-      if (spec.gang) {  // if one task of a gang is done, every one is
+      if (spec.is_gang()) {  // if one task of a gang is done, every one is
         next.done.assign(next.done.size(), true);
       } else {
         next.done[it->first - next.begin] = true;
@@ -275,7 +275,7 @@
     changed = true;
     ++it;
   }
-  if (w.want_stop && spec.gang && !next.placed.empty() && next.done_count() == 0 &&
+  if (w.want_stop && spec.is_gang() && !next.placed.empty() && next.done_count() == 0 &&
       !next.stopping) {
     next.stopping = true;
     changed = true;
@@ -293,7 +293,7 @@
     next.owner = settings_.name;
     // Guards against a value over the service's limit, which would be refused for ever: names may
     // be longer than the rule of placed_most() counts with.
-    while (!spec.gang && w.placing.size() > 1) {
+    while (!spec.is_gang() && w.placing.size() > 1) {
       wire::RangeRecord full = next;
       for (const auto& [task, p] : w.placing) full.placed[task] = p;
       if (static_cast<double>(encode(full).size()) <= value_bytes()) break;
--- a/src/core/replica.cpp
+++ b/src/core/replica.cpp
@@ -187,7 +187,7 @@
     }
   }
   // What becomes of one task of a gang concerns all.
-  if (before && after && job.known && job.record.spec.gang) {
+  if (before && after && job.known && job.record.spec.is_gang()) {
     for (const auto& [task, p] : after->placed) changed_machines_.insert(p.machine);
   }
 }
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -237,7 +237,7 @@
   if (auto h = m.halts.find({ref.range.job, ref.index});
       h != m.halts.end() && h->second.first == p.attempt)
     return true;
-  if (!spec.gang) return false;
+  if (!spec.is_gang()) return false;
   const auto* range = replica_.range(ref.range);
   if (!range || range->stopping) return true;
   // Placements of a gang are written together: a part of them means that one was lost. Once it is
--- a/src/core/room.cpp
+++ b/src/core/room.cpp
@@ -59,7 +59,7 @@
     for (const TaskRef& ref : replica_.placed_on(m.id)) {
       const auto* p = replica_.placement(ref);
       const Job* job = replica_.job(ref.range.job);
-      if (!p || !job || job->record.spec.gang) continue;
+      if (!p || !job || job->record.spec.is_gang()) continue;
       const bool lower = job->record.spec.priority < spec.priority;
       const bool borrowed = entitled && borrows[job->record.spec.team];
       if (!lower && !borrowed) continue;
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -323,7 +323,7 @@
       dirty_ = true;
       continue;
     }
-    if (e.job->record.spec.gang) {
+    if (e.job->record.spec.is_gang()) {
       place_gang(pass, e.id, *e.job, *e.range, e.urgency.begun);
     } else {
       place_array(pass, e.id, *e.job, *e.range, e.urgency);
--- a/src/core/watch.cpp
+++ b/src/core/watch.cpp
@@ -52,7 +52,7 @@
     const double ran =
         seen.running_since ? static_cast<double>(now - seen.running_since) / 1000.0 : 0;
     const double need = ran < spec.estimate_s ? spec.estimate_s - ran : k::kOverrunAllowanceS;
-    if (spec.gang) {
+    if (spec.is_gang()) {
       for (const auto& [number, r] : job->ranges) work_[{task.job, number}].want_stop = true;
       dirty_ = true;
       continue;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -27,6 +27,8 @@
     {"high", Priority::high},
     {"standard", Priority::normal},
     {"low", Priority::low}};
+constexpr std::pair<std::string_view, JobShape> kShapes[] = {{"batch", JobShape::array},
+                                                             {"ensemble", JobShape::gang}};
 constexpr std::pair<std::string_view, JobState> kJobStates[] = {{"pending", JobState::queued},
                                                                 {"running", JobState::running},
                                                                 {"done", JobState::done},
@@ -110,10 +112,7 @@
   if (!read(o, "id", out.id) || !valid_job_id(out.id)) return "id is missing or invalid";
   if (!read_name(o, "queue", out.job_class)) return "queue is missing or invalid";
   if (!read_name(o, "crew", out.team)) return "crew is missing or invalid";
-  std::string shape;
-  if (!read(o, "shape", shape) || (shape != "batch" && shape != "ensemble"))
-    return "shape is missing or invalid";
-  out.gang = shape == "ensemble";
+  if (!read_enum(o, "shape", kShapes, out.shape)) return "shape is missing or invalid";
   if (!read_enum(o, "rank", kPriorities, out.priority)) return "rank is missing or invalid";
   if (!read(o, "loads", out.tasks) || out.tasks == 0 || out.tasks > kMaxTasks)
     return "loads is missing or invalid";
@@ -152,7 +151,7 @@
   put(w, "id", job.id);
   put(w, "queue", job.job_class);
   put(w, "crew", job.team);
-  put(w, "shape", job.gang ? "ensemble" : "batch");
+  put(w, "shape", name_of(kShapes, job.shape));
   put(w, "rank", name_of(kPriorities, job.priority));
   put(w, "loads", std::uint64_t{job.tasks});
   put(w, "cpus", job.cpus);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -16,11 +16,18 @@
 // Order is preemption order: a larger value may stop a smaller one.
 enum class Priority : std::uint8_t { low = 0, normal = 1, high = 2, production = 3 };
 
+// How the tasks of a job belong together.
+enum class JobShape : std::uint8_t {
+  array,   // independent tasks; each runs to completion
+  gang,    // all tasks run at the same time or none does
+  service  // independent replicas that run until the job is cancelled
+};
+
 struct JobSpec {
   std::string id;
   std::string job_class;
   std::string team;
-  bool gang = false;
+  JobShape shape = JobShape::array;
   Priority priority = Priority::normal;
   std::uint32_t tasks = 0;
   double cpus = 0, gpus = 0, memory_gb = 0;
@@ -35,6 +42,9 @@
   double checkpoint_s = 0;
   double save_s = 0;
   std::optional<double> deadline_s;
+
+  bool is_gang() const { return shape == JobShape::gang; }
+  bool is_service() const { return shape == JobShape::service; }
 };
 
 constexpr std::uint32_t kMaxTasks = 100'000;  // tasks; PROTOCOL, POST /v1/jobs
--- a/tests/sim/machines.cpp
+++ b/tests/sim/machines.cpp
@@ -214,7 +214,7 @@
       const double grace = o["leewayS"].GetDouble();
       const bool saves = job.spec.checkpoint_s > 0 && grace >= job.spec.save_s;
       if (t.state == TaskState::running && saves) {
-        if (job.spec.gang) job.gang_first_stop.emplace(attempt, now_);
+        if (job.spec.is_gang()) job.gang_first_stop.emplace(attempt, now_);
         t.state = TaskState::saving;
         t.since = now_;
         w.changed = true;
@@ -228,7 +228,7 @@
 // Its work is to begin elsewhere as soon as that is provable.
 void World::job_lost(const wire::TaskId& task) {
   const UserJob& job = jobs_.at(task.job);
-  if (job.spec.gang || job.asked_cancel || job.completed.contains(task.index)) return;
+  if (job.spec.is_gang() || job.asked_cancel || job.completed.contains(task.index)) return;
   lost_[task] = now_;
   ++result_.lost_by_lease;
 }
@@ -278,7 +278,7 @@
         } else if (job.completed.contains(task.index)) {
           end_task(w, task, t.attempt, ExitCause::done, false);
         } else {
-          t.state = job.spec.gang ? TaskState::waiting : TaskState::running;
+          t.state = job.spec.is_gang() ? TaskState::waiting : TaskState::running;
           t.work_ms = job.progress[task.index];
           w.changed = true;
         }
@@ -288,7 +288,7 @@
           end_task(w, task, t.attempt, ExitCause::alone, false);
         break;
       case TaskState::running:
-        if (job.spec.gang) break;  // with its peers
+        if (job.spec.is_gang()) break;  // with its peers
         t.work_ms += kWorkerStepMs;
         if (job.spec.checkpoint_s > 0) {
           const double interval = job.spec.checkpoint_s * 1000;
@@ -316,7 +316,7 @@
 // Tasks of a gang find one another by attempt, start together, and end together.
 void World::gang_step() {
   for (auto& [id, job] : jobs_) {
-    if (!job.spec.gang) continue;
+    if (!job.spec.is_gang()) continue;
     std::map<std::uint64_t, std::vector<std::pair<Worker*, wire::TaskId>>> attempts;
     for (auto& [wid, w] : workers_) {
       if (w->dead || !w->up) continue;
--- a/tests/sim/referee.cpp
+++ b/tests/sim/referee.cpp
@@ -50,9 +50,9 @@
       s.zone.empty() || std::find(std::begin(kZones), std::end(kZones), s.zone) != std::end(kZones);
   if (s.cpus > 8 || s.gpus > 0 || s.memory_gb > 32 || !zone || team == settings_.teams.end())
     broke("accepted_wrong", s.id + " fits nothing");
-  else if (team->cpus_max > 0 && s.cpus * (s.gang ? s.tasks : 1) > team->cpus_max)
+  else if (team->cpus_max > 0 && s.cpus * (s.is_gang() ? s.tasks : 1) > team->cpus_max)
     broke("accepted_wrong", s.id + " needs more than its team may use");
-  else if (s.gang && s.spread && s.tasks > 1 && (s.one_zone || !s.zone.empty()))
+  else if (s.is_gang() && s.spread && s.tasks > 1 && (s.one_zone || !s.zone.empty()))
     broke("accepted_wrong", s.id + " can never be whole");
 }
 
@@ -67,7 +67,7 @@
 // Whether anything of the job could start now: one task of an array, all of a gang.
 bool World::has_room(const UserJob& job, const std::map<std::string, double>& used) const {
   const auto& s = job.spec;
-  const std::size_t needed = s.gang ? s.tasks : 1;
+  const std::size_t needed = s.is_gang() ? s.tasks : 1;
   for (const auto& t : settings_.teams) {
     auto u = used.find(t.name);
     if (t.name == s.team && t.cpus_max > 0 &&
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -18,8 +18,8 @@
   s.team = chance(1.0 - options_.free_team_tenths / 10.0) ? "tight" : "free";
   s.priority = static_cast<wire::Priority>(random(4));
   const int kind = random(10);
-  s.gang = kind < options_.gang_tenths;
-  s.tasks = static_cast<std::uint32_t>(s.gang        ? 2 + random(4)
+  if (kind < options_.gang_tenths) s.shape = wire::JobShape::gang;
+  s.tasks = static_cast<std::uint32_t>(s.is_gang()   ? 2 + random(4)
                                        : chance(0.1) ? options_.largest_array
                                                      : 1 + random(options_.largest_array / 6));
   s.cpus = 1 + random(4);
@@ -29,7 +29,7 @@
   if (kind == 2) s.one_zone = true;
   if (kind == 3) s.spread = true;
   if (kind == 4) s.zone = kZones[random(3)];
-  if (s.gang && chance(0.4)) (chance(0.5) ? s.one_zone : s.spread) = true;
+  if (s.is_gang() && chance(0.4)) (chance(0.5) ? s.one_zone : s.spread) = true;
   if (options_.bound > 0 && chance(options_.bound)) {
     s.spread = false;
     if (chance(0.6)) {
@@ -49,7 +49,7 @@
   if (chance(0.5)) s.deadline_s = s.estimate_s * 2 + 5;
   job.mistake = chance(options_.mistaken);
   if (options_.large_gang && next_job_ == 11) {
-    s.gang = true;
+    s.shape = wire::JobShape::gang;
     s.tasks = options_.large_gang;
     s.cpus = 8;
     s.team = "free";
@@ -57,7 +57,7 @@
     s.one_zone = s.spread = job.mistake = false;
     s.spot = true;
   }
-  if (options_.uneven > 0 && !s.gang && chance(options_.uneven)) {
+  if (options_.uneven > 0 && !s.is_gang() && chance(options_.uneven)) {
     job.uneven = true;
     s.tasks = static_cast<std::uint32_t>(2 + random(2));
   }
@@ -213,13 +213,14 @@
     if (way == "type") s.types = {"none"};
     if (way == "team") s.team = "nobody";
     if (way == "apart") {  // half of the gang at most may be in its only zone
-      s.gang = s.spread = true;
+      s.shape = wire::JobShape::gang;
+      s.spread = true;
       s.zone = "a";
     }
     if (way == "gang" || way == "task") {  // over the limit of its team, or of a machine
-      s.gang = way == "gang";
+      s.shape = way == "gang" ? wire::JobShape::gang : wire::JobShape::array;
       s.team = "tight";
-      s.cpus = s.gang ? 8 : 1e19;
+      s.cpus = s.is_gang() ? 8 : 1e19;
       s.tasks = static_cast<std::uint32_t>(options_.limit_cpus / 8) + 1;
     }
   }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -146,7 +146,7 @@
     ++result_.accepted;
     if (j.told_done) ++result_.done;
     if (j.told_cancelled) ++result_.cancelled;
-    if (j.told_done && j.spec.gang) ++result_.gangs_done;
+    if (j.told_done && j.spec.is_gang()) ++result_.gangs_done;
     if (j.told_done && j.spec.spread) ++result_.spread_done;
     if (j.told_done && options_.large_gang && j.spec.tasks == options_.large_gang)
       result_.large_gang_done = true;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -26,7 +26,7 @@
   JobSpec job;
   ASSERT_EQ(parse_job(job_text(), job), "");
   EXPECT_EQ(job.id, "req-000412");
-  EXPECT_TRUE(job.gang);
+  EXPECT_TRUE(job.is_gang());
   EXPECT_EQ(job.priority, Priority::high);
   EXPECT_EQ(job.tasks, 16U);
   EXPECT_EQ(job.types, std::vector<std::string>{"g8"});
