--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -54,6 +54,8 @@
 }
 
 void Service::run() {
+  for (const auto& kind : settings_.unknown_objectives)
+    spdlog::info("objectives of kind {} are not known and ignored", kind);
   spdlog::info("{} in {} listens on {}", settings_.core.name, settings_.core.zone,
                settings_.listen);
   controller_.start(steady_ms(), wall_ms());
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -1,6 +1,8 @@
 #include "app/settings.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 #include <stdexcept>
 
@@ -68,6 +70,60 @@
   }
 }
 
+struct ObjectiveName {
+  std::string_view name;
+  core::ObjectiveKind kind;
+};
+constexpr ObjectiveName kObjectiveNames[] = {{"deadline", core::ObjectiveKind::deadline},
+                                             {"finished", core::ObjectiveKind::finished},
+                                             {"wait", core::ObjectiveKind::wait},
+                                             {"up", core::ObjectiveKind::up}};
+
+// Kinds that this version does not know are left out; the service logs them.
+void read_objective(const toml::table& t, NodeSettings& out) {
+  const std::string where = "settings.objectives.";
+  const std::string kind = text(t, "kind", where);
+  const auto* known =
+      std::find_if(std::begin(kObjectiveNames), std::end(kObjectiveNames),
+                   [&](const ObjectiveName& candidate) { return candidate.name == kind; });
+  if (known == std::end(kObjectiveNames)) {
+    out.unknown_objectives.insert(kind);
+    return;
+  }
+  core::Objective o;
+  o.kind = known->kind;
+  if (t.contains("class")) o.job_class = text(t, "class", where);
+  o.share = optional_number(t, "share", where);
+  o.times = optional_number(t, "times", where);
+  // The time from which a replica counts is named differently from the time for a start.
+  const bool up = o.kind == core::ObjectiveKind::up;
+  o.within_s = optional_number(t, up ? "after_s" : "within_s", where);
+  out.core.objectives.push_back(std::move(o));
+}
+
+// The state service's limits. Those announced for later (`next`) may come at any moment, so what
+// is written fits both.
+void read_state_limits(const toml::table& state, core::Settings& out) {
+  constexpr double kLeastValueKb = 1;  // a record of one placement and a short job fit
+  constexpr double kLeastTxnOps = 4;   // a placement on three parts and its range
+  const std::string where = "settings.state.";
+  out.state_rps = number(state, "rps", where, 1);
+  out.state_write_rps = number(state, "write_rps", where, 1);
+  out.value_kb = number(state, "value_kb", where, kLeastValueKb);
+  out.txn_ops = static_cast<int>(number(state, "txn_ops", where, kLeastTxnOps));
+  out.stored_value_kb = out.value_kb;
+  if (!state.contains("next")) return;
+  const toml::table& next = table(state, "next");
+  const std::string next_where = where + "next.";
+  auto lower = [&](const char* name, double now, double least) {
+    return next.contains(name) ? std::min(now, number(next, name, next_where, least)) : now;
+  };
+  out.state_rps = lower("rps", out.state_rps, 1);
+  out.state_write_rps = lower("write_rps", out.state_write_rps, 1);
+  out.value_kb = lower("value_kb", out.value_kb, kLeastValueKb);
+  out.txn_ops = static_cast<int>(lower("txn_ops", out.txn_ops, kLeastTxnOps));
+}
+
 }  // namespace
 
 NodeSettings load_settings(const std::string& path) {
@@ -110,26 +166,14 @@
     team.gpus_max = optional_number(t, "gpus_max", "settings.teams.");
     c.teams.push_back(std::move(team));
   });
-  each(s, "objectives", [&](const toml::table& t) {
-    core::Objective o;
-    o.kind = text(t, "kind", "settings.objectives.");
-    if (t.contains("class")) o.job_class = text(t, "class", "settings.objectives.");
-    o.share = optional_number(t, "share", "settings.objectives.");
-    o.times = optional_number(t, "times", "settings.objectives.");
-    o.within_s = optional_number(t, "within_s", "settings.objectives.");
-    c.objectives.push_back(std::move(o));
-  });
+  each(s, "objectives", [&](const toml::table& t) { read_objective(t, out); });
   const auto& workers = table(s, "workers");
   c.report_s = number(workers, "report_s", "settings.workers.", 0.01);
   c.lease_s = number(workers, "lease_s", "settings.workers.", 0.1);
   c.gang_wait_s = number(workers, "gang_wait_s", "settings.workers.", 0);
   c.gang_peer_s = number(workers, "gang_peer_s", "settings.workers.", 0);
   c.cancel_s = number(workers, "cancel_s", "settings.workers.", 0);
-  const auto& state = table(s, "state");
-  c.state_rps = number(state, "rps", "settings.state.", 1);
-  c.state_write_rps = number(state, "write_rps", "settings.state.", 1);
-  c.value_kb = number(state, "value_kb", "settings.state.", 4);
-  c.txn_ops = static_cast<int>(number(state, "txn_ops", "settings.state.", 4));
+  read_state_limits(table(s, "state"), c);
   const auto& cloud = table(s, "cloud");
   c.cloud_rps = number(cloud, "rps", "settings.cloud.", 0.1);
   c.list_lag_s = number(cloud, "list_lag_s", "settings.cloud.", 0);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -1,6 +1,7 @@
 // The platform's settings file and the operators' own options.
 #pragma once
 
+#include <set>
 #include <string>
 
 #include "core/types.h"
@@ -12,6 +13,7 @@
   std::string listen, peer_listen, cloud, state;
   double cpu_share = 0, ram_mb = 0;
   int fd_limit = 0;
+  std::set<std::string> unknown_objectives;  // kinds that this version does not know; ignored
 };
 
 // Throws std::runtime_error with one clear line.
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -83,6 +83,9 @@
 constexpr double kQuietIntervals = 1.4;
 // Tasks of one range record; the bitmap then takes 2 KiB of the value as hexadecimal digits.
 constexpr std::uint32_t kTasksPerRange = 8192;
+// Share of a range record's value that its bitmap of finished tasks may take: a job of 100,000
+// tasks then has at most 28 ranges at 2 KiB, and half of each value is left to placements.
+constexpr double kFinishedMarksShare = 0.45;
 // Bytes that a placement usually takes of a range record when each is on a machine of its own.
 constexpr std::size_t kBytesPerPlacement = 30;
 // Bytes of a range record besides placements and bitmap: owner, bounds.
@@ -174,6 +177,10 @@
 // Final states kept in memory; each takes about 100 bytes, older ones are read again.
 constexpr std::size_t kOverCached = 20'000;
 
+// Milliseconds before a change that the service has refused for its size is tried again: it can
+// only succeed once something has shrunk.
+constexpr std::int64_t kRejectedPauseMs = 5000;
+
 // ---- users ----
 // Requests of users that may wait for the state service at once; beyond it they are shed.
 constexpr std::size_t kWaitingRequests = 400;
@@ -192,6 +199,20 @@
 constexpr int kRetryAfterS = 1;
 constexpr int kRetryAfterOutageS = 2;
 
+// ---- services ----
+// Milliseconds that a booked replica counts as still running in predictions: it ends when its user
+// calls it off, so its machine counts as full for longer than any array runs.
+constexpr std::int64_t kServiceRunsMs = 24LL * 3600 * 1000;
+// Milliseconds for which a replica must have run for its end not to count as a failure of its job:
+// longer than the report of a start takes, so that one that ends at once everywhere is backed off.
+constexpr std::int64_t kServiceSettledMs = 5000;
+// Milliseconds for which a machine that has a replica's result is avoided for its job: the worker
+// keeps the result for good, and would end each further attempt at once.
+constexpr std::int64_t kDoneMemoryMs = 3'600'000;
+// Seconds before its machine is taken at which a replica is stopped to be moved: a halt and the
+// proof of it take about one, and until then it serves.
+constexpr double kServiceMoveS = 3.0;
+
 // ---- workers ----
 // Milliseconds until a direct command counts as unanswered. Short, since the token is then raised
 // and the command sent again.
@@ -204,6 +225,9 @@
 // Estimated seconds of high-priority tasks that are begun again rather than waited for when their
 // zone is cut off; cuts last about a minute.
 constexpr double kHurryS = 30.0;
+// Milliseconds that a worker waits for the answer to a report before it tries another controller
+// (PROTOCOL): so long its reports may be with one that does not answer.
+constexpr std::int64_t kReportAnswerMs = 4000;
 // Milliseconds between direct messages to a machine that does not answer them.
 constexpr std::int64_t kOrdersRetryMs = 1000;
 
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -24,7 +24,8 @@
           [this](Ms now, const wire::StoredItem& item) { on_item(now, item); },
           [this](LogLevel level, std::string text) { log(level, std::move(text)); }),
       membership_(settings_),
-      fleet_(settings_) {
+      fleet_(settings_),
+      format_switch_(settings_) {
   char name[20];
   std::snprintf(name, sizeof name, "%016" PRIx64, seed);
   incarnation_ = name;
@@ -148,7 +149,8 @@
          ", CPUs free " + std::to_string(std::lround(free)) + "/" +
          std::to_string(std::lround(cpus)) + ", ranges being written " + std::to_string(busy) +
          ", quotas being written " + std::to_string(quotas) + ", queued writes " +
-         std::to_string(store_.queued());
+         std::to_string(store_.queued()) + ", over size " + std::to_string(store_.rejections()) +
+         ", over rate " + std::to_string(store_.throttles());
 }
 
 // ---- changes ----
@@ -253,6 +255,7 @@
     return;
   }
   acknowledge_view(now);
+  keep_format(now);
   keep_hearing(now);
   // Remove members whose hold has ended.
   if (!can_write(now) || removing_) return;
@@ -303,6 +306,7 @@
   wire::LiveRecord live;
   live.incarnation = incarnation_;
   live.epoch = next.epoch;
+  live.format = settings_.record_format;
   const std::string live_key = std::string(wire::kLivePrefix) + settings_.name;
   Transaction t;
   t.guards = {view_guard(), store_.guard(live_key)};
@@ -394,6 +398,7 @@
   wire::LiveRecord live;
   live.incarnation = incarnation_;
   live.epoch = membership_.epoch();
+  live.format = settings_.record_format;
   const std::string key = std::string(wire::kLivePrefix) + settings_.name;
   Transaction t;
   t.guards = {view_guard(), store_.guard(key)};
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -3,8 +3,10 @@
 // of its own and reads no clock.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <pcg_random.hpp>
 #include <set>
 #include <string>
@@ -12,7 +14,9 @@
 #include <vector>
 
 #include "core/fleet.h"
+#include "core/format_switch.h"
 #include "core/health.h"
+#include "core/machine_groups.h"
 #include "core/membership.h"
 #include "core/order.h"
 #include "core/placement.h"
@@ -95,6 +99,7 @@
     // does: an answer to a direct message, a task that we started, a token that only we had given.
     Ms unreached_since = 0;         // 0: no sign that it is out of reach
     std::uint64_t reach_token = 0;  // a token that it can only show if something reached it since
+    bool report_answered = false;   // a report of it, since it is of our part
     bool doubted = false;           // reports look old: late copies, or it has restarted
     // What we placed on it as seen by placement; rebuilt when something of it changes.
     mutable Candidate candidate;
@@ -159,6 +164,35 @@
   bool keeps(std::string_view duty) const { return membership_.keeper(duty) == settings_.name; }
   const Team* team(const std::string& name) const;
 
+  struct Pass;  // pass.h
+
+  // ---- services.cpp ----
+  // Whether services may be accepted: every controller reads their records.
+  bool services_enabled() const { return replica_.format() >= wire::kServiceFormat; }
+  // Records the format that all controllers support, once they do.
+  void keep_format(Ms now);
+  // Replicas of our services that are on no machine, in amounts of their team's limit. They are
+  // kept free for them, so that nothing else starves a restart.
+  Usage service_reserve(const std::string& team_name) const;
+  void count_service_reserve();
+  void place_service(Pass& pass, const RangeId& id, const Job& job, const wire::RangeRecord& range);
+  // What a replica's machine may be.
+  struct ReplicaChoice {
+    const wire::JobSpec* spec = nullptr;
+    std::set<std::string> taken;                 // machines that have a replica
+    std::optional<std::set<std::string>> zones;  // none: any
+    bool avoid_failed = true;                    // not where the job has failed
+  };
+  int choose_for_replica(Pass& pass, const Job& job);
+  std::vector<int> replica_candidates(const Pass& pass, const ReplicaChoice& choice, bool own,
+                                      bool without_replica) const;
+  // Machines that have a replica of the job, or are to get one.
+  std::set<std::string> machines_of(const Job& job) const;
+  // What a replica's end says about its job.
+  void on_replica_end(Ms now, const Machine& m, const TaskRef& ref, const Seen& seen);
+  // Stops a replica whose machine is about to go, so that it starts elsewhere.
+  static void move_replica(Machine& m, const wire::TaskId& task, std::uint64_t attempt);
+
   // ---- jobs.cpp ----
   void on_submit(Ms now, std::uint64_t request, const std::string& body);
   void on_poll(Ms now, std::uint64_t request, const std::string& job);
@@ -228,11 +262,24 @@
   void refresh(Machine& m) const;  // from the records
   void note_machine(Ms now, Machine& m, wire::MachineStanding standing, Ms within);
   void write_parts(Ms now);
+  // Pending entries follow their machines into the groups that these are in now.
+  void regroup_pending();
+  // Whether our record of the group has entries of machines that are in another group now.
+  bool has_strays(const wire::PartRecord& record, std::uint32_t group) const;
+  // Writes such entries into our records of the groups that their machines are in.
+  void move_strays(std::uint32_t group, const wire::PartRecord& record);
+  std::size_t machines_per_group() const;
+  // As the fleet's coordinator: cuts a group over the limit. True when a write is under way.
+  bool split_large_group();
   void write_fleet(Ms now);
   double value_bytes() const { return settings_.value_kb * 1024.0; }
+  // What a value written by the former version may take; ours may too until all are new.
+  double stored_value_bytes() const {
+    const double now = services_enabled() ? 0.0 : settings_.stored_value_kb * 1024.0;
+    return std::max(now, value_bytes());
+  }
 
   // ---- schedule.cpp ----
-  struct Pass;  // pass.h
   // When a range is served.
   struct Urgency {
     bool begun = true;      // false: goes before all others with a few tasks
@@ -271,7 +318,9 @@
                              const std::string& only);
 
   // ---- room.cpp ----
-  int make_room(Pass& pass, const wire::JobSpec& spec, bool pressed);
+  // `zones`: where the machine may be; none: anywhere.
+  int make_room(Pass& pass, const wire::JobSpec& spec, bool pressed,
+                const std::set<std::string>* zones);
 
   // ---- ranges.cpp ----
   std::size_t placed_most(std::uint32_t tasks) const;
@@ -281,10 +330,22 @@
   void write_taken(const RangeId& from, std::uint32_t first, const RangeId& to);
   bool completes(const RangeId& id, const RangeWork& w) const;
   bool pressing(Ms now, const RangeId& id, RangeWork& w, bool room) const;
+  // Ranges of one job that are still divided further, so that one transaction can end it.
+  std::size_t most_ranges() const;
+  static bool record_ends(const wire::JobSpec& spec, RangeWork& work, wire::RangeRecord& record);
+  static bool record_stop(const wire::JobSpec& spec, const RangeWork& work,
+                          wire::RangeRecord& record);
+  void fit_placements(const wire::JobSpec& spec, RangeWork& work, const wire::RangeRecord& record);
+  void record_placements(const Job& job, const RangeWork& work, wire::RangeRecord& record,
+                         Transaction& t);
+  bool write_pieces(const Job& job, const wire::RangeRecord& record, Transaction& t);
   void write_range(const RangeId& id);
+  void on_range_written(Ms now, const RangeId& id, Committed result);
 
   // ---- grants.cpp ----
   bool grant_allows(Pass& pass, const wire::JobSpec& spec);
+  // So many tasks wait for a larger grant.
+  void need_quota(const wire::JobSpec& spec, std::uint32_t tasks);
   void keep_quotas(Ms now);
 
   // ---- cloud.cpp ----
@@ -321,6 +382,9 @@
   Membership membership_;
   Health health_;
   Fleet fleet_;
+  FormatSwitch format_switch_;
+  bool format_busy_ = false;
+  std::map<std::string, Usage> service_reserve_;  // by team; see service_reserve()
 
   Ms looked_at_ = 0;     // last input
   Ms waking_until_ = 0;  // 0: not waking
@@ -338,6 +402,7 @@
   std::map<std::string, Machine> machines_;  // of our part
   std::map<RangeId, RangeWork> work_;
   std::map<std::uint32_t, PartWrite> part_writes_;
+  Ms strays_at_ = 0;                     // when to look for them next
   int orders_out_ = 0, probes_out_ = 0;  // direct messages under way
   std::set<std::string> finishing_;
   std::set<std::string> check_finish_;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -13,14 +13,15 @@
 double Fleet::parallel(const Demand& d) const {
   const wire::JobSpec& job = *d.job;
   const auto tasks = static_cast<double>(d.tasks);
-  if (job.is_gang()) return job.tasks;
+  if (job.is_gang() || job.is_service()) return job.tasks;
   double horizon = k::kDefaultHorizonS;
   for (const auto& o : settings_.objectives) {
     if (o.job_class != job.job_class) continue;
-    if (o.kind == "deadline" && job.deadline_s)
+    if (o.kind == ObjectiveKind::deadline && job.deadline_s)
       horizon = std::min(horizon, *job.deadline_s * std::max(1.0, o.times));
-    if (o.kind == "finished" && o.within_s > 0) horizon = std::min(horizon, o.within_s);
-    if (o.kind == "wait") horizon = 0;
+    if (o.kind == ObjectiveKind::finished && o.within_s > 0)
+      horizon = std::min(horizon, o.within_s);
+    if (o.kind == ObjectiveKind::wait) horizon = 0;
   }
   // Half of the horizon: boots, fetches and wrong estimates take the rest.
   const double rounds = std::max(1.0, std::floor(horizon / 2 / std::max(1.0, job.estimate_s)));
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -23,9 +23,7 @@
     all.cpus *= spec.tasks;
     all.gpus *= spec.tasks;
     if (!grant_allows(pass, all)) {
-      auto& need = quota_need_[spec.team];
-      need.cpus += all.cpus;
-      need.gpus += all.gpus;
+      need_quota(all, 1);
       return;
     }
   }
--- a/src/core/grants.cpp
+++ b/src/core/grants.cpp
@@ -26,12 +26,25 @@
       used->second.gpus += job->record.spec.gpus * static_cast<double>(w.placing.size());
     }
   }
+  wire::QuotaRecord::Amount held = used->second;
+  if (!spec.is_service()) {
+    const Usage reserve = service_reserve(spec.team);
+    held.cpus += reserve.cpus;
+    held.gpus += reserve.gpus;
+  }
   auto q = replica_.quotas().find(spec.team);
   const bool ok = q != replica_.quotas().end() &&
-                  within_grant(*t, q->second, settings_.name, used->second, spec.cpus, spec.gpus);
+                  within_grant(*t, q->second, settings_.name, held, spec.cpus, spec.gpus);
   return ok;
 }
 
+void Controller::need_quota(const wire::JobSpec& spec, std::uint32_t tasks) {
+  if (tasks == 0) return;
+  auto& need = quota_need_[spec.team];
+  need.cpus += spec.cpus * tasks;
+  need.gpus += spec.gpus * tasks;
+}
+
 void Controller::keep_quotas(Ms now) {
   if (!can_write(now) || now < quota_after_) return;
   quota_after_ = now + k::kGrantsEveryMs;
@@ -63,6 +76,9 @@
       in.used[settings_.name].cpus += job->record.spec.cpus * static_cast<double>(w.placing.size());
       in.used[settings_.name].gpus += job->record.spec.gpus * static_cast<double>(w.placing.size());
     }
+    const Usage reserve = service_reserve(t.name);
+    in.used[settings_.name].cpus += reserve.cpus;
+    in.used[settings_.name].gpus += reserve.gpus;
     const auto& used = in.used[settings_.name];
     const auto grant = record.grants.find(settings_.name);
     const bool stuck = need != quota_need_.end() && grant != record.grants.end() &&
--- a/src/core/health.cpp
+++ b/src/core/health.cpp
@@ -8,7 +8,7 @@
 
 namespace k = constants;
 
-bool Health::failed(Ms now, const std::string& machine, const std::string& job) {
+void Health::note_error(Ms now, const std::string& machine, const std::string& job) {
   JobErrors& j = jobs_[job];
   j.machines[machine] = now;
   ++j.in_a_row;
@@ -17,6 +17,20 @@
     const Ms wait = k::kJobBackoffMs << std::min(j.in_a_row - 1, 10);
     j.not_before = now + std::min(wait, k::kJobBackoffMostMs);
   }
+}
+
+void Health::ended_early(Ms now, const std::string& machine, const std::string& job) {
+  note_error(now, machine, job);
+}
+
+void Health::keeps_result(Ms now, const std::string& machine, const std::string& job) {
+  results_[machine][job] = now;
+}
+
+void Health::settled(const std::string& job) { jobs_.erase(job); }
+
+bool Health::failed(Ms now, const std::string& machine, const std::string& job) {
+  note_error(now, machine, job);
   auto& m = machines_[machine];
   m[job] = now;
   std::erase_if(m, [now](const auto& e) { return now - e.second > k::kErrorMemoryMs; });
@@ -37,10 +51,13 @@
 }
 
 bool Health::failed_here(Ms now, const std::string& machine, const std::string& job) const {
-  auto it = machines_.find(machine);
-  if (it == machines_.end()) return false;
-  auto e = it->second.find(job);
-  return e != it->second.end() && now - e->second < k::kErrorMemoryMs;
+  auto within = [&](const std::map<std::string, std::map<std::string, Ms>>& ends, Ms memory) {
+    auto it = ends.find(machine);
+    if (it == ends.end()) return false;
+    auto e = it->second.find(job);
+    return e != it->second.end() && now - e->second < memory;
+  };
+  return within(machines_, k::kErrorMemoryMs) || within(results_, k::kDoneMemoryMs);
 }
 
 bool Health::faulty_job(const std::string& job) const {
@@ -48,7 +65,14 @@
   return it != jobs_.end() && it->second.machines.size() >= k::kFaultyJobMachines;
 }
 
-void Health::forget_job(const std::string& job) { jobs_.erase(job); }
-void Health::forget_machine(const std::string& machine) { machines_.erase(machine); }
+void Health::forget_job(const std::string& job) {
+  jobs_.erase(job);
+  for (auto& [machine, jobs] : results_) jobs.erase(job);
+  std::erase_if(results_, [](const auto& entry) { return entry.second.empty(); });
+}
+void Health::forget_machine(const std::string& machine) {
+  machines_.erase(machine);
+  results_.erase(machine);
+}
 
 }  // namespace puffinhaven::core
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -13,6 +13,13 @@
  public:
   // A task of `job` failed on `machine`. True when the machine now counts as sick.
   bool failed(Ms now, const std::string& machine, const std::string& job);
+  // A replica of a service ended at once without being stopped. Says nothing against the machine;
+  // the job is backed off if it goes on.
+  void ended_early(Ms now, const std::string& machine, const std::string& job);
+  // The worker keeps a result of the job, and would end a replica at once: others are tried first.
+  void keeps_result(Ms now, const std::string& machine, const std::string& job);
+  // A replica has run for a while: the job is not at fault.
+  void settled(const std::string& job);
   // A task of `job` completed on `machine`: neither is at fault.
   void completed(const std::string& machine, const std::string& job);
   // Earliest time at which the job's tasks may be started again.
@@ -24,6 +31,8 @@
   void forget_machine(const std::string& machine);
 
  private:
+  void note_error(Ms now, const std::string& machine, const std::string& job);
+
   struct JobErrors {
     std::map<std::string, Ms> machines;
     int in_a_row = 0;
@@ -31,6 +40,7 @@
   };
   std::map<std::string, JobErrors> jobs_;
   std::map<std::string, std::map<std::string, Ms>> machines_;  // machine -> job -> last error
+  std::map<std::string, std::map<std::string, Ms>> results_;   // the same, for results kept
 };
 
 }  // namespace puffinhaven::core
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -130,14 +130,17 @@
   if (zones.empty()) return "a task fits no allowed machine type";
   // Guards against tasks without number on one machine, beside every limit.
   if (spec.cpus <= 0 && spec.gpus <= 0) return "a task needs cpus or gpus";
-  const double n = spec.is_gang() ? spec.tasks : 1;
+  const bool all_at_once = spec.is_gang() || spec.is_service();
+  const double n = all_at_once ? spec.tasks : 1;
   if ((t->cpus_max > 0 && n * spec.cpus > t->cpus_max) ||
       (t->gpus_max > 0 && n * spec.gpus > t->gpus_max))
     return "needs more than the team's limit";
   if (spec.is_gang() && spec.tasks > placed_most(spec.tasks)) return "gang is too large";
-  if (spec.is_gang() && spec.one_zone && spec.spread && spec.tasks > 1)
+  if (spec.is_service() && spec.tasks > placed_most(0) * most_ranges())
+    return "the service has too many replicas";
+  if (all_at_once && spec.one_zone && spec.spread && spec.tasks > 1)
     return "together and scatter exclude each other";
-  if (spec.is_gang() && spec.spread && spec.tasks > 1 && zones.size() < 2)
+  if (all_at_once && spec.spread && spec.tasks > 1 && zones.size() < 2)
     return "scatter needs a second zone";
   return "";
 }
@@ -148,6 +151,15 @@
     answer(request, 400, wire::error_body(error));
     return;
   }
+  if (spec.is_service() && !services_enabled()) {
+    // A controller of the former version could not read its records yet.
+    if (settings_.record_format < wire::kServiceFormat) {
+      answer(request, 400, wire::error_body("shape is missing or invalid"));
+    } else {
+      decline(request, k::kRetryAfterOutageS);
+    }
+    return;
+  }
   const std::string id = spec.id;
   auto known = [this, request, id](wire::JobState state) {
     answer(request, 200, wire::job_state_body(id, state));
@@ -185,9 +197,19 @@
   record.spec = spec;
   record.submitted_ms = now + wall_offset_;
   record.shares = divide(spec);
+  std::string value = encode(record);
+  if (static_cast<double>(value.size()) > value_bytes()) {
+    // Types that nobody offers tell nothing.
+    std::erase_if(record.spec.types, [this](const auto& type) { return !replica_.type(type); });
+    value = encode(record);
+  }
+  if (static_cast<double>(value.size()) > value_bytes()) {
+    answer(request, 422, wire::error_body("the description is too large"));
+    return;
+  }
   Transaction t;
   t.guards = {view_guard(), {wire::job_key(id), 0}, {wire::over_key(id), 0}};
-  t.writes.push_back({wire::job_key(id), encode(record), std::nullopt});
+  t.writes.push_back({wire::job_key(id), value, std::nullopt});
   t.urgent = true;
   t.give_up = now + k::kSubmitPatienceMs;
   ++waiting_requests_;
@@ -374,6 +396,14 @@
   Transaction t;
   t.guards = {view_guard()};
   const std::string over = wire::over_key(id), key = wire::job_key(id);
+  // Each range is a condition as far as conditions go. Beyond that they are not needed: a finished
+  // range never changes, and once the watch has passed a cancellation nothing can be placed any
+  // more, since every placement has the job's record as a condition.
+  const bool guard_all = job.known && job.ranges.size() <= most_ranges();
+  if (job.known && !guard_all && job.record.cancelled && !store_.watched_past(key)) {
+    check_finish_.insert(id);
+    return;
+  }
   if (job.known) {
     wire::OverRecord record;
     record.done = !job.record.cancelled;
@@ -387,10 +417,11 @@
   }
   for (const auto& [number, r] : job.ranges) {
     const std::string range = wire::range_key(id, number);
-    // Every range is a condition; those beyond one transaction are removed by a later one.
-    t.guards.push_back(store_.guard(range));
-    if (static_cast<int>(t.writes.size()) < settings_.txn_ops && !job.unwritten.contains(number))
-      t.writes.push_back({range, std::nullopt, std::nullopt});
+    // Those beyond one transaction are removed by a later one.
+    const bool remove =
+        static_cast<int>(t.writes.size()) < settings_.txn_ops && !job.unwritten.contains(number);
+    if (guard_all || remove) t.guards.push_back(store_.guard(range));
+    if (remove) t.writes.push_back({range, std::nullopt, std::nullopt});
   }
   finishing_.insert(id);
   t.done = [this, id](Ms at, Committed result, const auto&) {
--- /dev/null
+++ b/src/core/machine_groups.cpp
@@ -0,0 +1,40 @@
+#include "core/machine_groups.h"
+
+#include <algorithm>
+
+namespace puffinhaven::core {
+
+namespace {
+
+std::uint32_t next_unused(const FleetRecords& fleet, std::uint32_t from) {
+  while (fleet.contains(from)) ++from;
+  return from;
+}
+
+}  // namespace
+
+std::optional<FleetRecords> split_group(const FleetRecords& fleet, std::uint32_t group,
+                                        const GroupLimits& limits) {
+  const auto found = fleet.find(group);
+  if (found == fleet.end() || found->second.machines.size() <= limits.machines) return std::nullopt;
+  const auto& machines = found->second.machines;
+  // A little fuller than the limit on machines if that lets one transaction carry all; names and
+  // addresses are mostly shorter than that limit allows for.
+  const std::size_t least = (machines.size() + limits.records - 1) / limits.records;
+  const std::size_t each = std::max(limits.machines, least);
+  FleetRecords out;
+  std::uint32_t target = group, unused = 0;
+  for (const auto& [id, machine] : machines) {
+    if (out[target].machines.size() >= each) {
+      target = unused = next_unused(fleet, unused);
+      ++unused;
+    }
+    out[target].machines[id] = machine;
+  }
+  const bool fits = std::all_of(out.begin(), out.end(), [&](const auto& entry) {
+    return encode(entry.second).size() <= limits.value_bytes;
+  });
+  return fits ? std::optional(std::move(out)) : std::nullopt;
+}
+
+}  // namespace puffinhaven::core
--- a/src/core/machine_records.cpp
+++ b/src/core/machine_records.cpp
@@ -41,10 +41,81 @@
   w.due = w.due == 0 ? now + within : std::min(w.due, now + within);
 }
 
+void Controller::regroup_pending() {
+  std::vector<std::pair<std::string, wire::PartRecord::Heard>> moved;
+  for (auto& [group, w] : part_writes_) {
+    if (w.busy) continue;
+    std::erase_if(w.pending, [&, from = group](const auto& entry) {
+      const auto now_in = replica_.group_of(entry.first);
+      if (!now_in || *now_in == from) return false;
+      moved.push_back(entry);
+      return true;
+    });
+  }
+  for (const auto& [id, heard] : moved) {
+    PartWrite& target = part_writes_[*replica_.group_of(id)];
+    target.pending[id] = heard;
+    target.due = 1;  // at once: it has waited already
+  }
+}
+
+bool Controller::has_strays(const wire::PartRecord& record, std::uint32_t group) const {
+  return std::any_of(record.machines.begin(), record.machines.end(), [&](const auto& entry) {
+    const auto now_in = replica_.group_of(entry.first);
+    return now_in && *now_in != group;
+  });
+}
+
+void Controller::move_strays(std::uint32_t group, const wire::PartRecord& record) {
+  std::map<std::uint32_t, wire::PartRecord> next;
+  next[group];
+  const auto most = static_cast<std::size_t>(settings_.txn_ops);
+  for (const auto& [id, heard] : record.machines) {
+    const auto now_in = replica_.group_of(id);
+    if (!now_in) continue;  // no longer recorded
+    const bool carried = next.contains(*now_in) || next.size() < most;
+    const std::uint32_t target = carried ? *now_in : group;
+    if (part_writes_[target].busy) return;
+    auto [to, fresh] = next.try_emplace(target);
+    if (fresh) {
+      if (const auto* old = replica_.part(settings_.name, target)) to->second = *old;
+    }
+    // What our record of that group says already is newer.
+    to->second.machines.try_emplace(id, heard);
+  }
+  Transaction t;
+  t.guards = {view_guard()};
+  std::vector<std::uint32_t> groups;
+  for (const auto& [target, part] : next) {
+    const std::string key = wire::part_key(settings_.name, target);
+    t.guards.push_back(store_.guard(key));
+    t.writes.push_back({key, encode(part), std::nullopt});
+    part_writes_[target].busy = true;
+    groups.push_back(target);
+  }
+  auto release = [this, groups](Ms) {
+    for (const std::uint32_t target : groups) part_writes_[target].busy = false;
+  };
+  t.done = [this, release](Ms at, Committed result, const auto&) {
+    result == Committed::yes ? release(at) : settle(at, release);
+  };
+  store_.submit(std::move(t));
+}
+
 void Controller::write_parts(Ms now) {
   if (!can_write(now)) return;
+  regroup_pending();
+  if (services_enabled() && now >= strays_at_) {
+    strays_at_ = now + k::kSizeEveryMs;
+    for (const auto& [group, record] : replica_.parts_of(settings_.name)) {
+      if (!part_writes_[group].busy && has_strays(*record, group)) move_strays(group, *record);
+    }
+  }
   for (auto& [group, w] : part_writes_) {
     if (w.busy || w.pending.empty() || now < w.due) continue;
+    // Guards against dropping what we know of machines that have gone to another group.
+    const auto* mine = replica_.part(settings_.name, group);
+    if (mine && has_strays(*mine, group)) continue;
     // Verdicts on machines that went to another part meanwhile are not ours to write.
     std::erase_if(w.pending, [this](const auto& p) { return !machines_.contains(p.first); });
     const auto fleet = replica_.fleet().find(group);
@@ -95,10 +166,44 @@
 }
 
 // As the fleet's keeper: writes what is pending, new machines into groups that have room.
-void Controller::write_fleet(Ms now) {
-  if (fleet_busy_ || (fleet_pending_.empty() && hires_settled_.empty()) || !can_write(now)) return;
-  const auto most = static_cast<std::size_t>(
+std::size_t Controller::machines_per_group() const {
+  return static_cast<std::size_t>(
       std::max(1.0, value_bytes() / static_cast<double>(k::kBytesPerMachine)));
+}
+
+bool Controller::split_large_group() {
+  GroupLimits limits;
+  limits.machines = machines_per_group();
+  limits.value_bytes = static_cast<std::size_t>(value_bytes());
+  limits.records = static_cast<std::size_t>(settings_.txn_ops);
+  for (const auto& [group, record] : replica_.fleet()) {
+    const auto pieces = split_group(replica_.fleet(), group, limits);
+    if (!pieces) continue;
+    Transaction t;
+    t.guards = {view_guard()};
+    for (const auto& [target, piece] : *pieces) {
+      const std::string key = wire::fleet_key(target);
+      t.guards.push_back(store_.guard(key));
+      t.writes.push_back({key, encode(piece), std::nullopt});
+    }
+    log(LogLevel::info, "cutting machine group " + std::to_string(group) + " into " +
+                            std::to_string(pieces->size()));
+    fleet_busy_ = true;
+    auto release = [this](Ms) { fleet_busy_ = false; };
+    t.done = [this, release](Ms at, Committed result, const auto&) {
+      result == Committed::yes ? release(at) : settle(at, release);
+    };
+    store_.submit(std::move(t));
+    return true;
+  }
+  return false;
+}
+
+void Controller::write_fleet(Ms now) {
+  if (fleet_busy_ || !can_write(now)) return;
+  if (services_enabled() && split_large_group()) return;
+  if (fleet_pending_.empty() && hires_settled_.empty()) return;
+  const std::size_t most = machines_per_group();
   std::map<std::uint32_t, wire::FleetRecord> next;
   auto group_at = [&](std::uint32_t group) -> wire::FleetRecord& {
     auto [it, fresh] = next.try_emplace(group);
--- a/src/core/pass.h
+++ b/src/core/pass.h
@@ -15,6 +15,7 @@
 struct Controller::Pass {
   Ms now = 0;
   std::vector<Candidate*> pool;   // usable machines of our part, then others' if added
+  std::size_t own_machines = 0;   // of `pool`, which has them first
   std::deque<Candidate> foreign;  // what `pool` points to for machines of other parts
   bool foreign_added = false;
   int left = 0;
--- /dev/null
+++ b/src/core/range_split.cpp
@@ -0,0 +1,64 @@
+#include "core/range_split.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "core/constants.h"
+
+namespace puffinhaven::core {
+
+namespace {
+
+// The tasks [begin, end) of the range as a range of their own.
+wire::RangeRecord slice(const wire::RangeRecord& range, std::uint32_t begin, std::uint32_t end) {
+  wire::RangeRecord piece;
+  piece.job = range.job;
+  piece.number = range.number;
+  piece.owner = range.owner;
+  piece.begin = begin;
+  piece.end = end;
+  piece.next_attempt = range.next_attempt;
+  piece.stopping = range.stopping;
+  piece.done.assign(range.done.begin() + (begin - range.begin),
+                    range.done.begin() + (end - range.begin));
+  piece.placed.insert(range.placed.lower_bound(begin), range.placed.lower_bound(end));
+  return piece;
+}
+
+// Where to cut: so that both sides have as many placements, or as many tasks if there are none.
+std::uint32_t middle(const wire::RangeRecord& range) {
+  if (range.placed.size() < 2) return range.begin + (range.end - range.begin) / 2;
+  const auto half = static_cast<std::ptrdiff_t>(range.placed.size() / 2);
+  return std::next(range.placed.begin(), half)->first;
+}
+
+void split_into(const wire::RangeRecord& range, std::size_t limit_bytes,
+                std::vector<wire::RangeRecord>& pieces) {
+  const bool single = range.end - range.begin < 2;
+  if (single || encode(range).size() <= limit_bytes) {
+    pieces.push_back(range);
+    return;
+  }
+  const std::uint32_t cut = std::clamp(middle(range), range.begin + 1, range.end - 1);
+  split_into(slice(range, range.begin, cut), limit_bytes, pieces);
+  split_into(slice(range, cut, range.end), limit_bytes, pieces);
+}
+
+}  // namespace
+
+std::vector<wire::RangeRecord> split_to_fit(const wire::RangeRecord& range,
+                                            std::size_t limit_bytes) {
+  std::vector<wire::RangeRecord> pieces;
+  split_into(range, limit_bytes, pieces);
+  return pieces;
+}
+
+std::uint32_t tasks_per_range(std::size_t limit_bytes) {
+  constexpr std::size_t kTasksPerHexDigit = 4;
+  const auto by_value = static_cast<std::uint32_t>(
+      static_cast<double>(limit_bytes * kTasksPerHexDigit) * constants::kFinishedMarksShare);
+  return std::clamp(by_value, 1U, constants::kTasksPerRange);
+}
+
+}  // namespace puffinhaven::core
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -6,6 +6,7 @@
 #include "core/constants.h"
 #include "core/controller.h"
 #include "core/pass.h"
+#include "core/range_split.h"
 
 namespace puffinhaven::core {
 
@@ -18,6 +19,13 @@
   return static_cast<std::size_t>(std::max(1.0, bytes / k::kBytesPerPlacement));
 }
 
+std::size_t Controller::most_ranges() const {
+  // Besides the ranges, the end of a job has the view, the job and its final state as conditions.
+  constexpr std::size_t kOtherConditions = 4;
+  const std::size_t conditions = static_cast<std::size_t>(settings_.txn_ops) * k::kGuardsPerWrite;
+  return std::min(k::kRangesPerJob, conditions - kOtherConditions);
+}
+
 std::vector<wire::JobRecord::Share> Controller::divide(const wire::JobSpec& spec) const {
   // Free room and load of each part, in tasks of this job, from sums: what it could hold, less what
   // its ranges have placed and waiting. Placements of a range are on its owner's machines but for
@@ -92,11 +100,15 @@
     best->load += n;
     given += n;
   }
+  // Every replica of a service is placed at once, so that all placements of a range must fit.
+  const auto all_placed = static_cast<std::uint32_t>(placed_most(0));
+  const std::uint32_t most_tasks =
+      spec.is_service() ? all_placed : tasks_per_range(static_cast<std::size_t>(value_bytes()));
   std::vector<wire::JobRecord::Share> out;
   std::uint32_t begin = 0;
   for (const auto& [name, p] : parts) {
     for (std::uint32_t left = p.given; left > 0;) {
-      const std::uint32_t n = std::min(left, k::kTasksPerRange);
+      const std::uint32_t n = std::min(left, most_tasks);
       out.push_back({static_cast<std::uint32_t>(out.size()) + 1, begin, begin + n, name});
       begin += n;
       left -= n;
@@ -119,7 +131,7 @@
       continue;
     // Guards against work that stays for ever with a part that has no machine for it: a job that
     // cannot be divided further is still taken over by whole ranges, which makes no new record.
-    const bool whole_only = job.ranges.size() >= k::kRangesPerJob;
+    const bool whole_only = job.ranges.size() >= most_ranges();
     if (best_job && spec.priority <= best_job->record.spec.priority) continue;
     double room = -1;
     for (const auto& [number, r] : job.ranges) {
@@ -129,6 +141,8 @@
       RangeWork& w = work_[range];
       if (w.first_seen == 0) w.first_seen = now;
       if (w.busy || !w.freed.empty() || now < w.retry_at) continue;
+      // Over the limit on values: its owner cuts it first.
+      if (r.placed.size() > placed_most(r.end - r.begin)) continue;
       // A few tasks are left to their owner for longer: each taking makes one more record.
       const std::size_t waits = (r.end - r.begin) - r.placed.size() - r.done_count();
       const Ms patience = waits < k::kTakeAtLeast ? k::kTakeFewAfterMs : k::kTakeOverAfterMs;
@@ -148,9 +162,7 @@
       if (!grant_allows(pass, spec)) {
         // Guards against work that only our machines may run staying with a part that holds the
         // grants but has no such machines.
-        auto& need = quota_need_[spec.team];
-        need.cpus += spec.cpus * open;
-        need.gpus += spec.gpus * open;
+        need_quota(spec, open);
         break;
       }
       best_job = &job;
@@ -242,6 +254,114 @@
          (waited >= k::kEndsGatherMs && store_.spare(now));
 }
 
+// Puts the proven ends of tasks into the record. False when all of them are recorded already.
+bool Controller::record_ends(const wire::JobSpec& spec, RangeWork& work,
+                             wire::RangeRecord& record) {
+  bool changed = false;
+  for (auto it = work.freed.begin(); it != work.freed.end();) {
+    const auto placed = record.placed.find(it->first);
+    if (placed == record.placed.end() || placed->second.attempt != it->second.attempt) {
+      it = work.freed.erase(it);  // recorded already
+      continue;
+    }
+    record.placed.erase(placed);
+    if (it->second.done && spec.is_gang()) {
+      // If one task of a gang is done, every one is.
+      record.done.assign(record.done.size(), true);
+    } else if (it->second.done) {
+      record.done[it->first - record.begin] = true;
+    } else {
+      work.cursor = std::min(work.cursor, it->first);
+    }
+    changed = true;
+    ++it;
+  }
+  return changed;
+}
+
+// Takes over whether the gang is to be stopped in good order.
+bool Controller::record_stop(const wire::JobSpec& spec, const RangeWork& work,
+                             wire::RangeRecord& record) {
+  const bool stop = work.want_stop && spec.is_gang() && !record.placed.empty() &&
+                    record.done_count() == 0 && !record.stopping;
+  if (stop) record.stopping = true;
+  if (record.placed.empty()) record.stopping = false;
+  return stop;
+}
+
+// Takes choices back until the record fits. Guards against a value over the service's limit, which
+// would be refused for ever: names may be longer than the rule of placed_most() counts with.
+void Controller::fit_placements(const wire::JobSpec& spec, RangeWork& work,
+                                const wire::RangeRecord& record) {
+  while (!spec.is_gang() && work.placing.size() > 1) {
+    wire::RangeRecord full = record;
+    for (const auto& [task, placement] : work.placing) full.placed[task] = placement;
+    if (static_cast<double>(encode(full).size()) <= value_bytes()) break;
+    drop_placing(work, work.placing.size() / 2);
+  }
+}
+
+// Puts the chosen placements into the record, with the conditions that they rest on.
+void Controller::record_placements(const Job& job, const RangeWork& work, wire::RangeRecord& record,
+                                   Transaction& t) {
+  const wire::JobSpec& spec = job.record.spec;
+  // A cancellation or a change of a machine's standing in between voids the placement.
+  t.guards.push_back(store_.guard(wire::job_key(spec.id)));
+  record.owner = settings_.name;
+  std::set<std::string> owners;  // of the machines
+  for (const auto& [task, placement] : work.placing) {
+    record.placed[task] = placement;
+    record.next_attempt = std::max(record.next_attempt, placement.attempt + 1);
+    const auto* machine = replica_.machine(placement.machine);
+    owners.insert(machine ? membership_.machine_owner(placement.machine, machine->zone)
+                          : settings_.name);
+  }
+  // One stamp stands for all machines of a part: whoever places on another part's machines
+  // changes its claim, and so makes placements of its controller that do not know of these fail.
+  // A condition for each machine would not fit into a transaction for an array spread over
+  // hundreds.
+  for (const auto& owner : owners) {
+    const std::string claim = wire::claim_key(owner);
+    t.guards.push_back(store_.guard(claim));
+    if (owner != settings_.name)
+      t.writes.push_back({claim, wire::claim_body(settings_.name), std::nullopt});
+  }
+  // Guards against two controllers that place ranges of one job bound to zones at the same time:
+  // what the zones may still take is counted over all of them.
+  if (!spec.one_zone && !spec.spread) return;
+  for (const auto& [number, other] : job.ranges)
+    if (number != record.number) t.guards.push_back(store_.guard(wire::range_key(spec.id, number)));
+}
+
+// Adds the writes of the record, cut into several where it would not fit. False when it cannot be
+// written within the limits: it can once more of its tasks have ended.
+bool Controller::write_pieces(const Job& job, const wire::RangeRecord& record, Transaction& t) {
+  const auto limit = static_cast<std::size_t>(value_bytes());
+  const wire::JobSpec& spec = job.record.spec;
+  const std::string key = wire::range_key(spec.id, record.number);
+  if (spec.is_gang()) {
+    // A gang is placed and ends as one. The production version may have written larger records.
+    const std::string value = encode(record);
+    if (static_cast<double>(value.size()) > stored_value_bytes()) return false;
+    t.writes.push_back({key, value, std::nullopt});
+    return true;
+  }
+  std::set<std::uint32_t> numbers;
+  for (const wire::RangeRecord& piece : split_to_fit(record, limit)) {
+    const std::string value = encode(piece);
+    if (value.size() > limit) return false;
+    std::uint32_t number = record.number;
+    if (piece.begin != record.begin) {
+      do {
+        number = random_();
+      } while (number == 0 || job.ranges.contains(number) || !numbers.insert(number).second);
+      t.guards.push_back({wire::range_key(spec.id, number), 0});
+    }
+    t.writes.push_back({wire::range_key(spec.id, number), value, std::nullopt});
+  }
+  return static_cast<int>(t.writes.size()) <= settings_.txn_ops;
+}
+
 void Controller::write_range(const RangeId& id) {
   RangeWork& w = work_[id];
   const auto* range = replica_.range(id);
@@ -254,108 +374,70 @@
     return;
   }
   const auto& spec = job->record.spec;
+  const std::string key = wire::range_key(id.job, id.number);
   wire::RangeRecord next = *range;
-  bool changed = false;
-  for (auto it = w.freed.begin(); it != w.freed.end();) {
-    auto p = next.placed.find(it->first);
-    if (p == next.placed.end() || p->second.attempt != it->second.attempt) {
-      it = w.freed.erase(it);  // recorded already
-      continue;
-    }
-    next.placed.erase(p);
-    if (it->second.done) {
-      if (spec.is_gang()) {  // if one task of a gang is done, every one is
-        next.done.assign(next.done.size(), true);
-      } else {
-        next.done[it->first - next.begin] = true;
-      }
-    } else {
-      w.cursor = std::min(w.cursor, it->first);
-    }
-    changed = true;
-    ++it;
-  }
-  if (w.want_stop && spec.is_gang() && !next.placed.empty() && next.done_count() == 0 &&
-      !next.stopping) {
-    next.stopping = true;
-    changed = true;
-  }
-  w.want_stop = false;
-  if (next.placed.empty() && next.stopping) next.stopping = false;
   Transaction t;
-  const std::string key = wire::range_key(id.job, id.number);
   t.guards = {view_guard(), store_.guard(key)};
-  std::set<std::string> machines;
-  if (w.uncertain) changed = true;  // the same again, with a new stamp
+  bool changed = record_ends(spec, w, next);
+  const bool stop = record_stop(spec, w, next);
+  w.want_stop = false;
+  changed = changed || stop;
+  changed = changed || w.uncertain;  // the same again, with a new stamp
   if (!w.placing.empty() && !w.uncertain) {
-    // A cancellation or a change of a machine's standing in between voids the placement.
-    t.guards.push_back(store_.guard(wire::job_key(id.job)));
-    next.owner = settings_.name;
-    // Guards against a value over the service's limit, which would be refused for ever: names may
-    // be longer than the rule of placed_most() counts with.
-    while (!spec.is_gang() && w.placing.size() > 1) {
-      wire::RangeRecord full = next;
-      for (const auto& [task, p] : w.placing) full.placed[task] = p;
-      if (static_cast<double>(encode(full).size()) <= value_bytes()) break;
-      drop_placing(w, w.placing.size() / 2);
-    }
-    for (const auto& [task, p] : w.placing) {
-      next.placed[task] = p;
-      next.next_attempt = std::max(next.next_attempt, p.attempt + 1);
-      machines.insert(p.machine);
-    }
-    // One stamp stands for all machines of a part: whoever places on another part's machines
-    // changes its claim, and so makes placements of its controller that do not know of these fail.
-    // A condition for each machine would not fit into a transaction for an array spread over
-    // hundreds.
-    std::set<std::string> owners;
-    for (const auto& m : machines) {
-      const auto* record = replica_.machine(m);
-      owners.insert(record ? membership_.machine_owner(m, record->zone) : settings_.name);
-    }
-    for (const auto& owner : owners) {
-      const std::string claim = wire::claim_key(owner);
-      t.guards.push_back(store_.guard(claim));
-      if (owner != settings_.name)
-        t.writes.push_back({claim, wire::claim_body(settings_.name), std::nullopt});
+    const bool fits = spec.is_gang() || static_cast<double>(encode(next).size()) <= value_bytes();
+    if (fits) {
+      fit_placements(spec, w, next);
+      record_placements(*job, w, next, t);
+    } else {
+      clear_placing(w);  // once the record has been cut
     }
     changed = true;
   }
   if (!changed) return;
+  if (!write_pieces(*job, next, t)) {
+    log(LogLevel::info, key + " does not fit the state service's limits yet");
+    clear_placing(w);
+    w.want_stop = stop;
+    w.retry_at = looked_at_ + k::kRejectedPauseMs;
+    return;
+  }
   log(LogLevel::debug, "writing " + key + " stamp " + std::to_string(store_.version(key)) +
                            " placing " + std::to_string(w.placing.size()) + " freed " +
                            std::to_string(w.freed.size()));
   w.freed_since = 0;
-  t.writes.push_back({key, encode(next), std::nullopt});
   // A user waits for the end of a cancelled job.
   t.urgent = spec.priority >= wire::Priority::high || job->record.cancelled;
   w.busy = true;
-  t.done = [this, id, machines](Ms at, Committed result, const auto&) {
-    auto it = work_.find(id);
-    if (it == work_.end()) return;
-    dirty_ = true;
-    if (result == Committed::unknown) {
-      // Guards against a late write that fills a grant or a machine a second time.
-      it->second.uncertain = true;
-    } else if (result != Committed::refused || !it->second.uncertain) {
-      clear_placing(it->second);
-    }
-    if (result == Committed::yes) {
-      it->second.busy = false;
-      return;  // starts follow from the changed machines
-    }
-    if (result == Committed::refused) {
-      it->second.busy = false;
-      it->second.retry_at = at + k::kRefusedRetryMs;
-      return;
-    }
-    settle(at, [this, id](Ms) {
-      auto again = work_.find(id);
-      if (again != work_.end()) again->second.busy = false;
-      dirty_ = true;
-    });
-  };
+  t.done = [this, id](Ms at, Committed result, const auto&) { on_range_written(at, id, result); };
   store_.submit(std::move(t));
 }
 
+void Controller::on_range_written(Ms now, const RangeId& id, Committed result) {
+  auto it = work_.find(id);
+  if (it == work_.end()) return;
+  RangeWork& work = it->second;
+  dirty_ = true;
+  const bool not_executed = result == Committed::refused || result == Committed::rejected;
+  if (result == Committed::unknown) {
+    // Guards against a late write that fills a grant or a machine a second time.
+    work.uncertain = true;
+  } else if (!not_executed || !work.uncertain) {
+    clear_placing(work);
+  }
+  if (result == Committed::yes) {
+    work.busy = false;
+    return;  // starts follow from the changed machines
+  }
+  if (not_executed) {
+    work.busy = false;
+    work.retry_at = now + k::kRefusedRetryMs;
+    return;
+  }
+  settle(now, [this, id](Ms) {
+    auto again = work_.find(id);
+    if (again != work_.end()) again->second.busy = false;
+    dirty_ = true;
+  });
+}
+
 }  // namespace puffinhaven::core
--- a/src/core/replica.cpp
+++ b/src/core/replica.cpp
@@ -129,6 +129,13 @@
     view_changed_ = true;
     return true;
   }
+  if (key == wire::kFormatKey) {
+    wire::FormatRecord record;
+    if (!item.value || !decode(*item.value, record)) return false;
+    // Records of a format that was switched on once may exist for ever.
+    format_.format = std::max(format_.format, record.format);
+    return true;
+  }
   if (key == wire::kCatalogKey) {
     std::vector<wire::MachineType> types;
     if (!item.value || !wire::parse_catalog(*item.value, types)) return false;
@@ -243,12 +250,12 @@
     if (record.machines.contains(id)) continue;
     auto at = heard_.find(id);
     if (at == heard_.end()) continue;
-    at->second.erase(who);
+    at->second.erase({who, group});
     if (at->second.empty()) heard_.erase(at);
     merge(id);
   }
   for (const auto& [id, h] : record.machines) {
-    heard_[id][who] = h;
+    heard_[id][{who, group}] = h;
     merge(id);
   }
   if (!value) parts_.erase({who, group});
@@ -265,6 +272,15 @@
   return it == parts_.end() ? nullptr : &it->second;
 }
 
+std::vector<std::pair<std::uint32_t, const wire::PartRecord*>> Replica::parts_of(
+    const std::string& controller) const {
+  std::vector<std::pair<std::uint32_t, const wire::PartRecord*>> out;
+  for (auto it = parts_.lower_bound({controller, 0});
+       it != parts_.end() && it->first.first == controller; ++it)
+    out.emplace_back(it->first.second, &it->second);
+  return out;
+}
+
 const Job* Replica::job(const std::string& id) const {
   auto it = jobs_.find(id);
   return it == jobs_.end() || !it->second.known ? nullptr : &it->second;
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -58,6 +58,8 @@
   const std::map<std::string, wire::QuotaRecord>& quotas() const { return quotas_; }
   const std::vector<wire::MachineType>& catalog() const { return catalog_; }
   bool has_catalog() const { return has_catalog_; }
+  // The format of records that all controllers read (wire/store.h).
+  std::uint32_t format() const { return format_.format; }
   const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
 
   const Job* job(const std::string& id) const;
@@ -67,6 +69,9 @@
   // The group that a machine is recorded in; none if the machine is not recorded.
   std::optional<std::uint32_t> group_of(const std::string& id) const;
   const wire::PartRecord* part(const std::string& controller, std::uint32_t group) const;
+  // Every record of that controller, by group.
+  std::vector<std::pair<std::uint32_t, const wire::PartRecord*>> parts_of(
+      const std::string& controller) const;
   const wire::MachineType* type(const std::string& name) const;
   const wire::OverRecord* over(const std::string& id) const;
   void remember_over(const std::string& id, const wire::OverRecord& record);
@@ -102,14 +107,18 @@
   std::map<std::uint32_t, wire::FleetRecord> fleet_;
   std::map<std::pair<std::string, std::uint32_t>, wire::PartRecord> parts_;
   std::unordered_map<std::string, std::uint32_t> group_of_;
-  // What controllers have written of a machine, by controller.
-  std::unordered_map<std::string, std::map<std::string, wire::PartRecord::Heard>> heard_;
+  // A controller's record of one group.
+  using PartId = std::pair<std::string, std::uint32_t>;
+  // What controllers have written of a machine. While a group is being cut, a machine's entries may
+  // stand in records of its former group.
+  std::unordered_map<std::string, std::map<PartId, wire::PartRecord::Heard>> heard_;
   std::map<std::string, wire::MachineRecord> machines_;        // merged from all these
   std::map<std::string, std::map<std::string, Usage>> usage_;  // team -> grant
   std::map<std::string, wire::RentRequest> hires_;
   std::map<std::string, wire::QuotaRecord> quotas_;
   std::vector<wire::MachineType> catalog_;
   bool has_catalog_ = false;
+  wire::FormatRecord format_;
   std::unordered_map<std::string, Job> jobs_;
   std::unordered_map<std::string, wire::OverRecord> over_;
   std::deque<std::string> over_order_;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -18,7 +18,8 @@
   const auto& tasks = replica_.placed_on(m.id);
   return std::all_of(tasks.begin(), tasks.end(), [this](const TaskRef& ref) {
     const Job* job = replica_.job(ref.range.job);
-    return job && job->record.spec.priority >= wire::Priority::high &&
+    return job && !job->record.spec.is_service() &&
+           job->record.spec.priority >= wire::Priority::high &&
            job->record.spec.estimate_s <= k::kHurryS;
   });
 }
@@ -106,6 +107,7 @@
   }
   const auto list = commands(now, m);
   const std::uint64_t given = token(m);
+  m.report_answered = true;
   m.lease_from = std::max(m.lease_from, now);
   answer(request, 200, wire::report_answer(given, list));
 }
@@ -197,6 +199,8 @@
     if (t.state == wire::TaskState::running) {
       s.running_since = same && old->second.running_since ? old->second.running_since : now;
     }
+    // How long it ran tells later whether it ended early.
+    if (t.state == wire::TaskState::exited && same) s.running_since = old->second.running_since;
     auto job = replica_.jobs().find(t.task.job);
     if (t.state != wire::TaskState::exited && t.state != wire::TaskState::fetching &&
         job != replica_.jobs().end()) {
@@ -302,11 +306,15 @@
     auto f = w->second.freed.find(ref.index);
     if (f != w->second.freed.end() && f->second.attempt == seen.attempt) return;  // counted
   }
-  free_task(ref, seen.attempt, seen.cause == wire::ExitCause::done);
+  const Job* job = replica_.job(ref.range.job);
+  const bool service = job && job->record.spec.is_service();
+  // A service is never done: a replica that says so has ended like any other.
+  free_task(ref, seen.attempt, seen.cause == wire::ExitCause::done && !service);
   m.halts.erase({ref.range.job, ref.index});
+  if (service) on_replica_end(now, m, ref, seen);
   switch (seen.cause) {
     case wire::ExitCause::done:
-      health_.completed(m.id, ref.range.job);
+      if (!service) health_.completed(m.id, ref.range.job);
       break;
     case wire::ExitCause::error:
       log(LogLevel::info,
--- a/src/core/room.cpp
+++ b/src/core/room.cpp
@@ -13,7 +13,8 @@
 // Stops what may be stopped for this task on the machine where that loses least; returns the
 // machine, with its room counted as free, or -1. A few machines are drawn instead of searching all:
 // the cost must not grow with the fleet, and the least loss among some is nearly the least of all.
-int Controller::make_room(Pass& pass, const wire::JobSpec& spec, bool pressed) {
+int Controller::make_room(Pass& pass, const wire::JobSpec& spec, bool pressed,
+                          const std::set<std::string>* zones) {
   const Ms now = pass.now;
   // A team that stays within its guarantee need not wait for what another runs beyond its own.
   auto within = [this, &pass](const std::string& name, const wire::JobSpec& more) {
@@ -35,7 +36,9 @@
   }
   double wait_aim_s = 1e9;
   for (const auto& o : settings_.objectives)
-    if (o.kind == "wait" && o.job_class == spec.job_class) wait_aim_s = o.within_s;
+    if ((o.kind == ObjectiveKind::wait || o.kind == ObjectiveKind::up) &&
+        o.job_class == spec.job_class)
+      wait_aim_s = std::min(wait_aim_s, o.within_s);
   struct Victim {
     wire::TaskId task;
     std::uint64_t attempt;
@@ -45,14 +48,14 @@
   int best = -1;
   double best_loss = 0;
   std::vector<Victim> best_victims;
-  if (pass.pool.empty()) return -1;
-  std::uniform_int_distribution<std::size_t> draw(0, pass.pool.size() - 1);
+  if (pass.own_machines == 0) return -1;
+  std::uniform_int_distribution<std::size_t> draw(0, pass.own_machines - 1);
   for (int look = 0; look < k::kRoomSamples; ++look) {
     const std::size_t i = draw(random_);
     const Candidate& c = *pass.pool[i];
     auto at = machines_.find(c.id);
     if (!c.own || at == machines_.end() || !allowed(spec, c.type, c.zone, c.spot) ||
-        health_.failed_here(now, c.id, spec.id))
+        (zones && !zones->contains(c.zone)) || health_.failed_here(now, c.id, spec.id))
       continue;
     const Machine& m = at->second;
     std::vector<Victim> victims;
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -20,6 +20,8 @@
 }
 
 Ms Controller::ends_at(Ms from, const wire::JobSpec& spec) {
+  // A service has no end to predict.
+  if (spec.is_service()) return from + k::kServiceRunsMs;
   return from + static_cast<Ms>(spec.estimate_s * 1000.0);
 }
 
@@ -185,18 +187,25 @@
   const std::uint64_t held = job.done_tasks() + job.placed_tasks();
   w.work = static_cast<double>(spec.tasks - std::min<std::uint64_t>(spec.tasks, held)) *
            spec.estimate_s * std::max(spec.cpus, 0.1);
+  if (spec.is_service()) {
+    // Every second that a replica is missing counts, however long it has been so.
+    w.start_by.push_back(0);
+    w.priority = static_cast<int>(spec.priority);
+    return w;
+  }
   bool finish_open = false, any = false;
   for (const auto& o : settings_.objectives) {
     if (o.job_class != spec.job_class) continue;
     double start_by = -1;
-    if (o.kind == "wait") start_by = o.within_s - w.age;
-    if (o.kind == "deadline" && spec.deadline_s)
+    if (o.kind == ObjectiveKind::wait) start_by = o.within_s - w.age;
+    if (o.kind == ObjectiveKind::deadline && spec.deadline_s)
       start_by = *spec.deadline_s * o.times - spec.estimate_s - w.age;
-    if (o.kind == "finished") start_by = o.within_s - spec.estimate_s - w.age;
-    any = any || o.kind != "wait";
+    if (o.kind == ObjectiveKind::finished) start_by = o.within_s - spec.estimate_s - w.age;
+    const bool finishing = o.kind == ObjectiveKind::deadline || o.kind == ObjectiveKind::finished;
+    any = any || finishing;
     if (start_by < 0) continue;
     w.start_by.push_back(start_by);
-    finish_open = finish_open || o.kind != "wait";
+    finish_open = finish_open || finishing;
   }
   if (!any) w.start_by.push_back(std::max(0.0, k::kDefaultHorizonS - spec.estimate_s - w.age));
   std::sort(w.start_by.begin(), w.start_by.end());
@@ -209,15 +218,16 @@
 
 bool Controller::pressed(Ms now, const Job& job) const {
   const auto& spec = job.record.spec;
+  if (spec.is_service()) return true;
   const double age = age_s(now, job);
   double left = 1e9;
   for (const auto& o : settings_.objectives) {
     if (o.job_class != spec.job_class) continue;
     double start_by = 1e9;
-    if (o.kind == "wait") start_by = o.within_s;
-    if (o.kind == "deadline" && spec.deadline_s)
+    if (o.kind == ObjectiveKind::wait) start_by = o.within_s;
+    if (o.kind == ObjectiveKind::deadline && spec.deadline_s)
       start_by = *spec.deadline_s * o.times - spec.estimate_s;
-    if (o.kind == "finished") start_by = o.within_s - spec.estimate_s;
+    if (o.kind == ObjectiveKind::finished) start_by = o.within_s - spec.estimate_s;
     if (start_by > age) left = std::min(left, start_by - age);
   }
   return left < k::kPressedS;
@@ -238,6 +248,7 @@
   dirty_ = false;
   schedule_after_ = now + k::kPassEveryMs;
   if (!can_write(now)) return;
+  count_service_reserve();
   Pass pass;
   pass.now = now;
   pass.left = k::kPlacementsPerPass;
@@ -246,6 +257,7 @@
   pass.writes = k::kWritesQueued - static_cast<int>(store_.queued());
   for (const auto& [id, m] : machines_)
     if (usable(now, m)) pass.pool.push_back(&candidate(now, m));
+  pass.own_machines = pass.pool.size();
   auto write = [&](const RangeId& id) {
     write_range(id);
     --pass.writes;
@@ -272,7 +284,7 @@
   for (const auto& [id, job] : replica_.jobs()) {
     if (!job.known || job.record.cancelled || job.done_tasks() >= job.record.spec.tasks) continue;
     of_class[job.record.spec.job_class] += 1;
-    const bool old = age_s(now, job) > k::kOldJobS;
+    const bool old = !job.record.spec.is_service() && age_s(now, job) > k::kOldJobS;
     const std::size_t waiter = waiters.size();
     bool waits = job.done_tasks() + job.placed_tasks() < job.record.spec.tasks;
     for (const auto& [number, r] : job.ranges) {
@@ -307,6 +319,9 @@
       if (e.old) e.urgency.begun = false;
   }
   std::sort(entries.begin(), entries.end(), [](const Entry& x, const Entry& y) {
+    const bool x_service = x.job->record.spec.is_service();
+    const bool y_service = y.job->record.spec.is_service();
+    if (x_service != y_service) return x_service;
     if (x.urgency.begun != y.urgency.begun) return !x.urgency.begun;
     if (x.urgency.place != y.urgency.place) return x.urgency.place < y.urgency.place;
     return x.id < y.id;
@@ -323,7 +338,9 @@
       dirty_ = true;
       continue;
     }
-    if (e.job->record.spec.is_gang()) {
+    if (e.job->record.spec.is_service()) {
+      place_service(pass, e.id, *e.job, *e.range);
+    } else if (e.job->record.spec.is_gang()) {
       place_gang(pass, e.id, *e.job, *e.range, e.urgency.begun);
     } else {
       place_array(pass, e.id, *e.job, *e.range, e.urgency);
@@ -364,7 +381,9 @@
     ++here[m ? m->zone : ""];
   };
   for (const auto& [number, r] : job.ranges) {
-    for (const auto& [task, p] : r.placed) count(p);
+    // What is proven gone though not yet recorded holds its zone no longer.
+    for (const auto& [task, p] : r.placed)
+      if (!freed({{spec.id, number}, task}, p.attempt)) count(p);
     if (auto w = work_.find({spec.id, number}); w != work_.end())
       for (const auto& [task, p] : w->second.placing) count(p);
   }
@@ -432,9 +451,8 @@
       chosen = choose(pass.now, pass.pool, spec, eligible, random_);
     }
     // What can meet no aim any more waits for room instead of making others late.
-    if (chosen < 0 && !urgency.hopeless) chosen = make_room(pass, spec, pressed(pass.now, job));
-    if (chosen >= 0 && zoned && !open.contains(pass.pool[static_cast<std::size_t>(chosen)]->zone))
-      chosen = -1;
+    if (chosen < 0 && !urgency.hopeless)
+      chosen = make_room(pass, spec, pressed(pass.now, job), zoned ? &open : nullptr);
     if (chosen < 0) {
       if (!urgency.begun) reserve(pass, spec, 1);
       if (!zoned) pass.failed.push_back(&spec);
@@ -442,11 +460,7 @@
     }
     assign(pass, w, job, task, range.next_attempt, chosen, false);
   }
-  if (waiting > 0) {
-    auto& need = quota_need_[spec.team];
-    need.cpus += spec.cpus * waiting;
-    need.gpus += spec.gpus * waiting;
-  }
+  need_quota(spec, waiting);
 }
 
 }  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/services.cpp
@@ -0,0 +1,151 @@
+// Services: jobs whose replicas run until their user calls them off. Choosing machines for
+// replicas, keeping their share of the team's limit, and what becomes of a replica that ends.
+#include <algorithm>
+#include <iterator>
+
+#include "core/constants.h"
+#include "core/controller.h"
+#include "core/pass.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+void Controller::keep_format(Ms now) {
+  if (format_busy_ || !can_write(now)) return;
+  std::optional<Transaction> transaction = format_switch_.propose(replica_, store_);
+  if (!transaction) return;
+  format_busy_ = true;
+  transaction->done = [this](Ms at, Committed result, const auto&) {
+    if (result == Committed::yes) {
+      format_busy_ = false;
+      log(LogLevel::info, "all controllers read record format " +
+                              std::to_string(replica_.format()) + "; services are accepted");
+      return;
+    }
+    settle(at, [this](Ms) { format_busy_ = false; });
+  };
+  store_.submit(std::move(*transaction));
+}
+
+// ---- share of the team's limit ----
+
+void Controller::count_service_reserve() {
+  service_reserve_.clear();
+  for (const auto& [id, job] : replica_.jobs()) {
+    const wire::JobSpec& spec = job.record.spec;
+    if (!job.known || !spec.is_service() || job.record.cancelled) continue;
+    for (const auto& [number, range] : job.ranges) {
+      const std::string key = wire::range_key(id, number);
+      if (membership_.range_owner(key, range.owner) != settings_.name) continue;
+      const auto missing =
+          static_cast<double>(range.end - range.begin) - static_cast<double>(range.placed.size());
+      Usage& reserve = service_reserve_[spec.team];
+      reserve.cpus += missing * spec.cpus;
+      reserve.gpus += missing * spec.gpus;
+    }
+  }
+}
+
+Usage Controller::service_reserve(const std::string& team_name) const {
+  const auto reserve = service_reserve_.find(team_name);
+  return reserve == service_reserve_.end() ? Usage{} : reserve->second;
+}
+
+// ---- placement ----
+
+std::set<std::string> Controller::machines_of(const Job& job) const {
+  std::set<std::string> machines;
+  for (const auto& [number, range] : job.ranges) {
+    for (const auto& [task, placement] : range.placed) machines.insert(placement.machine);
+    const auto work = work_.find({job.record.spec.id, number});
+    if (work == work_.end()) continue;
+    for (const auto& [task, placement] : work->second.placing) machines.insert(placement.machine);
+  }
+  return machines;
+}
+
+void Controller::place_service(Pass& pass, const RangeId& id, const Job& job,
+                               const wire::RangeRecord& range) {
+  const wire::JobSpec& spec = job.record.spec;
+  RangeWork& work = work_[id];
+  const std::size_t most = placed_most(range.end - range.begin);
+  std::uint32_t without_grant = 0;
+  for (std::uint32_t task = range.begin; task < range.end; ++task) {
+    if (!unstarted(work, range, task)) continue;
+    if (pass.left <= 0 || range.placed.size() + work.placing.size() >= most + work.freed.size())
+      break;
+    if (!grant_allows(pass, spec)) {
+      ++without_grant;
+      continue;
+    }
+    const int machine = choose_for_replica(pass, job);
+    if (machine < 0) break;
+    assign(pass, work, job, task, range.next_attempt, machine, false);
+  }
+  need_quota(spec, without_grant);
+}
+
+// The machine for one more replica, or -1. Each choice is by two samples (placement.cpp); what is
+// sampled is narrowed step by step. Our own machines come first: a replica on another part's
+// machine makes placements of its owner fail and starts later. Machines without a replica of the
+// job come before others, so that the loss of one takes few. Machines where the job failed come
+// last, and only if it has failed on several.
+int Controller::choose_for_replica(Pass& pass, const Job& job) {
+  const wire::JobSpec& spec = job.record.spec;
+  const bool bound_to_zones = spec.one_zone || spec.spread;
+  ReplicaChoice choice{&spec, machines_of(job), std::nullopt, true};
+  if (bound_to_zones) choice.zones = zones_open(pass, job);
+  for (const bool without_replica : {true, false}) {
+    const int machine = choose(pass.now, pass.pool, spec,
+                               replica_candidates(pass, choice, true, without_replica), random_);
+    if (machine >= 0) return machine;
+  }
+  const int preempted = make_room(pass, spec, true, bound_to_zones ? &*choice.zones : nullptr);
+  if (preempted >= 0) return preempted;
+  if (bound_to_zones) {
+    add_foreign(pass);
+    choice.zones = zones_open(pass, job);
+    const int machine =
+        choose(pass.now, pass.pool, spec, replica_candidates(pass, choice, false, true), random_);
+    if (machine >= 0) return machine;
+  }
+  if (!health_.faulty_job(spec.id)) return -1;
+  choice.avoid_failed = false;
+  return choose(pass.now, pass.pool, spec, replica_candidates(pass, choice, true, false), random_);
+}
+
+std::vector<int> Controller::replica_candidates(const Pass& pass, const ReplicaChoice& choice,
+                                                bool own, bool without_replica) const {
+  const wire::JobSpec& spec = *choice.spec;
+  std::vector<int> out;
+  for (std::size_t i = 0; i < pass.pool.size(); ++i) {
+    const Candidate& c = *pass.pool[i];
+    if (c.own != own || !c.fits(spec) || !allowed(spec, c.type, c.zone, c.spot)) continue;
+    if (choice.zones && !choice.zones->contains(c.zone)) continue;
+    if (without_replica && choice.taken.contains(c.id)) continue;
+    if (choice.avoid_failed && health_.failed_here(pass.now, c.id, spec.id)) continue;
+    out.push_back(static_cast<int>(i));
+  }
+  return out;
+}
+
+// ---- the end of a replica ----
+
+void Controller::on_replica_end(Ms now, const Machine& m, const TaskRef& ref, const Seen& seen) {
+  const bool settled = seen.running_since != 0 && now - seen.running_since > k::kServiceSettledMs;
+  if (settled) health_.settled(ref.range.job);
+  // Guards against a loop of instant ends: a worker remembers that a task is done, and ends every
+  // further attempt at once.
+  if (seen.cause != wire::ExitCause::done) return;
+  health_.keeps_result(now, m.id, ref.range.job);
+  if (!settled) health_.ended_early(now, m.id, ref.range.job);
+}
+
+void Controller::move_replica(Machine& m, const wire::TaskId& task, std::uint64_t attempt) {
+  m.halts[task] = {attempt, 0.0};
+  m.candidate_known = false;
+  m.kick_again = true;
+}
+
+}  // namespace puffinhaven::core
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 // Read at the start, in this order; final states stay out of recovery's way.
-const std::string_view kLoaded[] = {wire::kViewKey,     wire::kCatalogKey, wire::kLivePrefix,
-                                    wire::kFleetPrefix, wire::kPartPrefix, wire::kJobPrefixKey,
-                                    wire::kRangePrefix, wire::kHirePrefix, wire::kQuotaPrefix,
-                                    wire::kClaimPrefix};
+const std::string_view kLoaded[] = {wire::kViewKey,      wire::kFormatKey,   wire::kCatalogKey,
+                                    wire::kLivePrefix,   wire::kFleetPrefix, wire::kPartPrefix,
+                                    wire::kJobPrefixKey, wire::kRangePrefix, wire::kHirePrefix,
+                                    wire::kQuotaPrefix,  wire::kClaimPrefix};
 // Never written: asking for it tells the current revision.
 constexpr std::string_view kBarrierKey = "barrier";
 }  // namespace
@@ -123,6 +123,7 @@
   expire(barriers_, [](Barrier& b) -> Barrier& { return b; });
   expire(barrier_wait_, [](Waiting& w) -> Barrier& { return w.barrier; });
   for (auto& b : late) b.done(now, false);
+  release_rejected(now);
   flush(now);
 }
 
@@ -384,6 +385,7 @@
         size += x.key.size() + 60 + (x.value ? x.value->size() : 0);
         clash = clash || written.contains(x.key);
       }
+      if (!group.empty() && (t.alone || group.front().alone)) break;
       const bool allowed = writes + t.writes.size() <= most &&
                            guarded.size() + guards <= most * k::kGuardsPerWrite &&
                            bytes + size <= k::kTransactionBytes;
@@ -418,7 +420,7 @@
     next_transaction_ = now + static_cast<Ms>(1000.0 / std::max(request_rate, 0.1));
     send_group(now, std::move(group));
   }
-  for (auto& t : oversize) t.done(now, Committed::refused, {});
+  for (auto& t : oversize) reject(now, std::move(t));
 }
 
 void Store::send_group(Ms now, std::vector<Transaction> group) {
@@ -444,60 +446,102 @@
 
 void Store::on_group(Ms now, std::vector<Transaction> group, const Outcome& outcome) {
   std::uint64_t revision = 0;
+  std::vector<std::string> failed;
   if (outcome.status == 200 && wire::parse_revision(outcome.body, revision)) {
-    told(now, revision);
-    // Guards against bringing back what the watch has meanwhile seen removed: an answer that comes
-    // after the watch has passed its revision tells nothing new.
-    if (revision > watched_) {
-      for (const auto& t : group) {
-        for (const auto& w : t.writes) {
-          // The view comes by the watch alone, after everything written before it. Guards against
-          // acting as an owner on records from before the view that made us one.
-          if (w.key != wire::kViewKey) apply(now, {w.key, w.value, revision});
-        }
+    on_committed(now, std::move(group), revision);
+  } else if (outcome.status == 409 && wire::parse_conflict(outcome.body, revision, failed)) {
+    on_conflict(now, std::move(group), failed);
+  } else if (outcome.status == 429) {
+    on_throttled(std::move(group));
+  } else if (outcome.status == 400) {
+    on_bad_request(now, std::move(group), outcome.body);
+  } else {
+    const Committed result = outcome.status == 503 ? Committed::refused : Committed::unknown;
+    for (auto& t : group) t.done(now, result, {});
+  }
+}
+
+void Store::on_committed(Ms now, std::vector<Transaction> group, std::uint64_t revision) {
+  told(now, revision);
+  // Guards against bringing back what the watch has meanwhile seen removed: an answer that comes
+  // after the watch has passed its revision tells nothing new.
+  if (revision > watched_) {
+    for (const auto& t : group) {
+      for (const auto& w : t.writes) {
+        // The view comes by the watch alone, after everything written before it. Guards against
+        // acting as an owner on records from before the view that made us one.
+        if (w.key != wire::kViewKey) apply(now, {w.key, w.value, revision});
       }
     }
-    for (auto& t : group) t.done(now, Committed::yes, {});
-    flush(now);
-    return;
   }
-  std::vector<std::string> failed;
-  if (outcome.status == 409 && wire::parse_conflict(outcome.body, revision, failed)) {
-    std::vector<Transaction> conflicted, innocent;
-    for (auto& t : group) {
-      const bool hit = std::any_of(t.guards.begin(), t.guards.end(), [&](const auto& g) {
-        return std::find(failed.begin(), failed.end(), g.key) != failed.end();
-      });
-      (hit ? conflicted : innocent).push_back(std::move(t));
-    }
-    if (conflicted.empty()) conflicted.swap(innocent);
-    for (auto it = innocent.rbegin(); it != innocent.rend(); ++it)
-      queue_.push_front(std::move(*it));
-    for (auto& t : conflicted) t.done(now, Committed::conflict, failed);
-    flush(now);
-    return;
+  for (auto& t : group) t.done(now, Committed::yes, {});
+  flush(now);
+}
+
+void Store::on_conflict(Ms now, std::vector<Transaction> group,
+                        const std::vector<std::string>& failed) {
+  std::vector<Transaction> conflicted, innocent;
+  for (auto& t : group) {
+    const bool hit = std::any_of(t.guards.begin(), t.guards.end(), [&](const auto& g) {
+      return std::find(failed.begin(), failed.end(), g.key) != failed.end();
+    });
+    (hit ? conflicted : innocent).push_back(std::move(t));
   }
-  if (outcome.status == 429) {
-    for (auto it = group.rbegin(); it != group.rend(); ++it) queue_.push_front(std::move(*it));
+  if (conflicted.empty()) conflicted.swap(innocent);
+  put_back(std::move(innocent));
+  for (auto& t : conflicted) t.done(now, Committed::conflict, failed);
+  flush(now);
+}
+
+// The rate was exceeded, by us or by others that share it: nothing is left of this second's.
+void Store::on_throttled(std::vector<Transaction> group) {
+  ++throttles_;
+  write_tokens_ = std::min(write_tokens_, 0.0);
+  put_back(std::move(group));
+}
+
+void Store::on_bad_request(Ms now, std::vector<Transaction> group, const std::string& reason) {
+  // A lease that has ended meanwhile is no fault: the next one carries the record.
+  if (reason.find("no such lease") != std::string::npos) {
+    log_(LogLevel::info, "the state service rejected a transaction: " + reason);
+    permit_ = 0;
+    hold_at_ = now;
+    for (auto& t : group) t.done(now, Committed::refused, {});
     return;
   }
-  if (outcome.status == 503) {
-    for (auto& t : group) t.done(now, Committed::refused, {});
+  ++rejections_;
+  if (group.size() > 1) {
+    // Guards against one that is too large making all that were sent with it fail.
+    for (auto& t : group) t.alone = true;
+    put_back(std::move(group));
+    flush(now);
     return;
   }
-  if (outcome.status == 400) {
-    // A hold that has ended meanwhile is no fault: the next one carries the record.
-    const bool ended = outcome.body.find("no such lease") != std::string::npos;
-    log_(ended ? LogLevel::info : LogLevel::error,
-         "the state service rejected a transaction: " + outcome.body);
-    if (ended) {
-      permit_ = 0;
-      hold_at_ = now;
-    }
-    for (auto& t : group) t.done(now, Committed::refused, {});
+  log_(LogLevel::error, "the state service rejected a transaction: " + reason);
+  for (auto& t : group) reject(now, std::move(t));
+}
+
+void Store::put_back(std::vector<Transaction> group) {
+  for (auto it = group.rbegin(); it != group.rend(); ++it) queue_.push_front(std::move(*it));
+}
+
+// Guards against asking for the same again at once and for ever: whoever asked hears of it after a
+// pause, unless a user waits.
+void Store::reject(Ms now, Transaction transaction) {
+  if (transaction.give_up != 0) {
+    transaction.done(now, Committed::rejected, {});
     return;
   }
-  for (auto& t : group) t.done(now, Committed::unknown, {});
+  rejected_.push_back({now + k::kRejectedPauseMs, std::move(transaction)});
+}
+
+void Store::release_rejected(Ms now) {
+  std::vector<Transaction> due;
+  while (!rejected_.empty() && now >= rejected_.front().release_at) {
+    due.push_back(std::move(rejected_.front().transaction));
+    rejected_.erase(rejected_.begin());
+  }
+  for (auto& t : due) t.done(now, Committed::rejected, {});
 }
 
 }  // namespace puffinhaven::core
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -19,6 +19,7 @@
   yes,
   conflict,  // a guard failed; nothing was written
   refused,   // not executed
+  rejected,  // over the service's limits: never executed as it is
   unknown    // no answer: executed, or still to be executed, or lost
 };
 
@@ -28,6 +29,7 @@
   std::function<void(Ms now, Committed, const std::vector<std::string>& failed)> done;
   bool urgent = false;  // users wait for it
   Ms give_up = 0;       // 0: never; afterwards it is refused instead of sent
+  bool alone = false;   // not sent together with others, one of which the service has rejected
 };
 
 class Store {
@@ -66,6 +68,11 @@
   void passed(Ms now, Ms give_up, std::function<void(Ms now, bool ok)> done);
   void read(Ms now, const std::string& key, OutcomeHandler done);
   std::size_t queued() const { return queue_.size(); }
+  // The replica holds every change up to the newest of this key.
+  bool watched_past(const std::string& key) const { return version(key) <= watched_; }
+  // Answers that a transaction was over the limit on sizes, or on the rate of changes.
+  std::uint64_t rejections() const { return rejections_; }
+  std::uint64_t throttles() const { return throttles_; }
   // Nothing waits and enough of the write rate is left: what can wait may be written now.
   bool spare(Ms now) const;
   // Live controllers share the rates.
@@ -87,6 +94,13 @@
   void flush(Ms now);
   void send_group(Ms now, std::vector<Transaction> group);
   void on_group(Ms now, std::vector<Transaction> group, const Outcome& outcome);
+  void on_committed(Ms now, std::vector<Transaction> group, std::uint64_t revision);
+  void on_conflict(Ms now, std::vector<Transaction> group, const std::vector<std::string>& failed);
+  void on_throttled(std::vector<Transaction> group);
+  void on_bad_request(Ms now, std::vector<Transaction> group, const std::string& reason);
+  void put_back(std::vector<Transaction> group);
+  void reject(Ms now, Transaction transaction);
+  void release_rejected(Ms now);
   void send_barrier(Ms now);
   void release_barriers(Ms now);
   void keep_hold(Ms now);
@@ -127,6 +141,13 @@
   double write_tokens_ = 0;
   Ms write_refilled_ = 0;
 
+  struct Rejected {
+    Ms release_at;
+    Transaction transaction;
+  };
+  std::vector<Rejected> rejected_;  // whoever asked is told after a pause
+  std::uint64_t rejections_ = 0, throttles_ = 0;
+
   std::vector<Barrier> barriers_;      // to be read
   std::vector<Waiting> barrier_wait_;  // read, waiting for the watch
   bool barrier_in_flight_ = false;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "wire/store.h"
+
 namespace puffinhaven::core {
 
 using Ms = std::int64_t;  // milliseconds of the steady clock, unless named otherwise
@@ -16,8 +18,17 @@
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: none
 };
 
+enum class ObjectiveKind : std::uint8_t {
+  deadline,  // jobs done by their deadline, times a factor
+  finished,  // jobs done within a time
+  wait,      // tasks started within a time
+  up         // replica time served from a time on
+};
+
+// What is expected of a class of jobs.
 struct Objective {
-  std::string kind, job_class;
+  ObjectiveKind kind = ObjectiveKind::deadline;
+  std::string job_class;
   double share = 0, times = 0, within_s = 0;
 };
 
@@ -33,8 +44,14 @@
   std::vector<Objective> objectives;
   int controllers = 1;
   double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
+  // Limits of the state service. Where the settings announce lower ones for later, these are the
+  // lower ones, since the change comes without notice.
   double state_rps = 0, state_write_rps = 0, value_kb = 0;
   int txn_ops = 0;
+  // What a stored value may take today; the production version still writes that much.
+  double stored_value_kb = 0;
+  // The newest format of records that this controller reads and writes (wire/store.h).
+  std::uint32_t record_format = wire::kServiceFormat;
   double cloud_rps = 0, list_lag_s = 0;
 };
 
--- a/src/core/watch.cpp
+++ b/src/core/watch.cpp
@@ -57,6 +57,10 @@
       dirty_ = true;
       continue;
     }
+    if (spec.is_service()) {
+      if (left_s <= k::kServiceMoveS) move_replica(m, task, seen.attempt);
+      continue;
+    }
     // It may end in time; what saves is stopped when just enough is left for that.
     if (need < left_s - 1.0) continue;
     if (spec.checkpoint_s > 0 && left_s > spec.save_s + 2.0) continue;
@@ -128,8 +132,11 @@
     // Silent to reports and to a direct command while others are heard: most likely dead, hanging
     // or taken. Returning it proves its tasks gone sooner than its lease does.
     const Ms quiet = now - m.heard_at;
+    // Guards against returning a machine for one lost message while its report waits for a
+    // controller that it reported to before and that does not answer.
+    const Ms patience = silent_after() + (m.report_answered ? 0 : k::kReportAnswerMs);
     const bool dead = (m.orders_failed >= k::kProbesBeforeReturn && quiet > quiet_after()) ||
-                      (m.orders_failed > 0 && quiet > silent_after());
+                      (m.orders_failed > 0 && quiet > patience);
     if (dead && ready && !replica_.placed_on(id).empty() &&
         (few || (all.good >= all.bad && hurries(m)))) {
       log(LogLevel::info, "machine " + id + " is silent; returning it");
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -27,8 +27,8 @@
     {"high", Priority::high},
     {"standard", Priority::normal},
     {"low", Priority::low}};
-constexpr std::pair<std::string_view, JobShape> kShapes[] = {{"batch", JobShape::array},
-                                                             {"ensemble", JobShape::gang}};
+constexpr std::pair<std::string_view, JobShape> kShapes[] = {
+    {"batch", JobShape::array}, {"ensemble", JobShape::gang}, {"daemon", JobShape::service}};
 constexpr std::pair<std::string_view, JobState> kJobStates[] = {{"pending", JobState::queued},
                                                                 {"running", JobState::running},
                                                                 {"done", JobState::done},
@@ -136,6 +136,7 @@
   if (!read(o, "scatter", out.spread)) return "scatter is missing or invalid";
   if (!read(o, "standby", out.spot)) return "standby is missing or invalid";
   if (!read_amount(o, "haulS", out.estimate_s)) return "haulS is missing or invalid";
+  if (out.is_service() && out.estimate_s != 0) return "haulS of a daemon must be 0";
   if (!read_amount(o, "tipS", out.checkpoint_s)) return "tipS is missing or invalid";
   if (!read_amount(o, "stowS", out.save_s)) return "stowS is missing or invalid";
   out.deadline_s.reset();
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -211,13 +211,27 @@
   return object([&](Writer& w) {
     put(w, "incarnation", r.incarnation);
     put(w, "epoch", r.epoch);
+    if (r.format != kFirstFormat) put(w, "formats", std::uint64_t{r.format});
   });
 }
 
 bool decode(std::string_view text, LiveRecord& r) {
   rapidjson::Document doc;
-  return parse_object(text, doc) && read(doc, "incarnation", r.incarnation) &&
-         read(doc, "epoch", r.epoch);
+  if (!parse_object(text, doc) || !read(doc, "incarnation", r.incarnation) ||
+      !read(doc, "epoch", r.epoch))
+    return false;
+  r.format = kFirstFormat;
+  read(doc, "formats", r.format);
+  return true;
+}
+
+std::string encode(const FormatRecord& r) {
+  return object([&](Writer& w) { put(w, "formats", std::uint64_t{r.format}); });
+}
+
+bool decode(std::string_view text, FormatRecord& r) {
+  rapidjson::Document doc;
+  return parse_object(text, doc) && read(doc, "formats", r.format);
 }
 
 std::string encode(const JobRecord& r) {
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -60,6 +60,7 @@
 // hire/NAME         a rental request that may be under way
 // quota/TEAM        grants of a team's limit to controllers
 // catalog           the machine types as last heard from the cloud
+// formats           the format of records that all controllers read; written once all announce it
 // over/ID           final state of a job, kept for ever
 
 struct ViewRecord {
@@ -71,13 +72,26 @@
 std::string encode(const ViewRecord& r);
 bool decode(std::string_view text, ViewRecord& r);
 
+// Formats of records. Each controller announces the newest that it reads in its live record; the
+// first version did not, and ignores the field.
+constexpr std::uint32_t kFirstFormat = 1;
+constexpr std::uint32_t kServiceFormat = 2;  // jobs may be services; machine groups may be split
+
 struct LiveRecord {
   std::string incarnation;
   std::uint64_t epoch = 0;
+  std::uint32_t format = kFirstFormat;  // the newest that this controller reads
 };
 std::string encode(const LiveRecord& r);
 bool decode(std::string_view text, LiveRecord& r);
 
+// The format that every controller reads, so that records may be written in it. It never falls.
+struct FormatRecord {
+  std::uint32_t format = kFirstFormat;
+};
+std::string encode(const FormatRecord& r);
+bool decode(std::string_view text, FormatRecord& r);
+
 struct JobRecord {
   // A range as first given out; its own record stands for it once there is one. So a submission is
   // one write.
@@ -174,6 +188,7 @@
 
 constexpr std::string_view kViewKey = "view";
 constexpr std::string_view kCatalogKey = "catalog";
+constexpr std::string_view kFormatKey = "formats";
 constexpr std::string_view kLivePrefix = "live/";
 constexpr std::string_view kJobPrefixKey = "job/";
 constexpr std::string_view kRangePrefix = "range/";
