--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -325,6 +325,8 @@
   // ---- ranges.cpp ----
   std::size_t placed_most(std::uint32_t tasks) const;
   std::vector<wire::JobRecord::Share> divide(const wire::JobSpec& spec) const;
+  std::vector<wire::JobRecord::Share> cut_shares(
+      const wire::JobSpec& spec, const std::map<std::string, std::uint32_t>& given) const;
   void take_ranges(Ms now, Pass& pass);
   double room_for(Pass& pass, const wire::JobSpec& spec) const;
   void write_taken(const RangeId& from, std::uint32_t first, const RangeId& to);
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -100,14 +100,23 @@
     best->load += n;
     given += n;
   }
+  std::map<std::string, std::uint32_t> given;
+  for (const auto& [name, p] : parts) given[name] = p.given;
+  return cut_shares(spec, given);
+}
+
+// The ranges of a job of which each part was given so many tasks, none larger than its record may
+// become.
+std::vector<wire::JobRecord::Share> Controller::cut_shares(
+    const wire::JobSpec& spec, const std::map<std::string, std::uint32_t>& given) const {
   // Every replica of a service is placed at once, so that all placements of a range must fit.
   const auto all_placed = static_cast<std::uint32_t>(placed_most(0));
   const std::uint32_t most_tasks =
       spec.is_service() ? all_placed : tasks_per_range(static_cast<std::size_t>(value_bytes()));
   std::vector<wire::JobRecord::Share> out;
   std::uint32_t begin = 0;
-  for (const auto& [name, p] : parts) {
-    for (std::uint32_t left = p.given; left > 0;) {
+  for (const auto& [name, tasks] : given) {
+    for (std::uint32_t left = tasks; left > 0;) {
       const std::uint32_t n = std::min(left, most_tasks);
       out.push_back({static_cast<std::uint32_t>(out.size()) + 1, begin, begin + n, name});
       begin += n;
--- a/src/core/services.cpp
+++ b/src/core/services.cpp
@@ -103,13 +103,12 @@
   }
   const int preempted = make_room(pass, spec, true, bound_to_zones ? &*choice.zones : nullptr);
   if (preempted >= 0) return preempted;
-  if (bound_to_zones) {
-    add_foreign(pass);
-    choice.zones = zones_open(pass, job);
-    const int machine =
-        choose(pass.now, pass.pool, spec, replica_candidates(pass, choice, false, true), random_);
-    if (machine >= 0) return machine;
-  }
+  // Guards against a service whose zone has no machine of our part.
+  add_foreign(pass);
+  if (bound_to_zones) choice.zones = zones_open(pass, job);
+  const int machine =
+      choose(pass.now, pass.pool, spec, replica_candidates(pass, choice, false, true), random_);
+  if (machine >= 0) return machine;
   if (!health_.faulty_job(spec.id)) return -1;
   choice.avoid_failed = false;
   return choose(pass.now, pass.pool, spec, replica_candidates(pass, choice, true, false), random_);
