--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -184,6 +184,7 @@
     bool avoid_failed = true;                    // not where the job has failed
   };
   int choose_for_replica(Pass& pass, const Job& job);
+  bool other_machine_left(const Pass& pass, const wire::JobSpec& spec) const;
   std::vector<int> replica_candidates(const Pass& pass, const ReplicaChoice& choice, bool own,
                                       bool without_replica) const;
   // Machines that have a replica of the job, or are to get one.
--- a/src/core/grants.cpp
+++ b/src/core/grants.cpp
@@ -76,10 +76,7 @@
       in.used[settings_.name].cpus += job->record.spec.cpus * static_cast<double>(w.placing.size());
       in.used[settings_.name].gpus += job->record.spec.gpus * static_cast<double>(w.placing.size());
     }
-    const Usage reserve = service_reserve(t.name);
-    in.used[settings_.name].cpus += reserve.cpus;
-    in.used[settings_.name].gpus += reserve.gpus;
-    const auto& used = in.used[settings_.name];
+    auto& used = in.used[settings_.name];
     const auto grant = record.grants.find(settings_.name);
     const bool stuck = need != quota_need_.end() && grant != record.grants.end() &&
                        (grant->second.cpus > used.cpus + k::kAmountSlack ||
@@ -89,6 +86,13 @@
     if (stuck && since == 0) since = now;
     const std::string turn = collector(record, in.live, now + wall_offset_);
     in.yield = stuck && now - since > k::kGrantStuckMs && !turn.empty() && turn != settings_.name;
+    if (!in.yield) {
+      // Guards against giving away what our services need for a restart. While a remainder is being
+      // collected by another part it is given up all the same: it was too small for any of them.
+      const Usage reserve = service_reserve(t.name);
+      used.cpus += reserve.cpus;
+      used.gpus += reserve.gpus;
+    }
     auto next = next_quota(in, record);
     if (!next && uncertain) next = record;  // the same again, with a new stamp
     if (!next) continue;
--- a/src/core/health.cpp
+++ b/src/core/health.cpp
@@ -12,15 +12,17 @@
   JobErrors& j = jobs_[job];
   j.machines[machine] = now;
   ++j.in_a_row;
-  const bool faulty = j.machines.size() >= k::kFaultyJobMachines;
-  if (faulty) {
-    const Ms wait = k::kJobBackoffMs << std::min(j.in_a_row - 1, 10);
-    j.not_before = now + std::min(wait, k::kJobBackoffMostMs);
-  }
+  if (j.machines.size() >= k::kFaultyJobMachines) back_off(now, j);
+}
+
+void Health::back_off(Ms now, JobErrors& errors) {
+  const Ms wait = k::kJobBackoffMs << std::min(errors.in_a_row - 1, 10);
+  errors.not_before = now + std::min(wait, k::kJobBackoffMostMs);
 }
 
 void Health::ended_early(Ms now, const std::string& machine, const std::string& job) {
   note_error(now, machine, job);
+  back_off(now, jobs_[job]);
 }
 
 void Health::keeps_result(Ms now, const std::string& machine, const std::string& job) {
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -38,6 +38,8 @@
     int in_a_row = 0;
     Ms not_before = 0;
   };
+  static void back_off(Ms now, JobErrors& errors);
+
   std::map<std::string, JobErrors> jobs_;
   std::map<std::string, std::map<std::string, Ms>> machines_;  // machine -> job -> last error
   std::map<std::string, std::map<std::string, Ms>> results_;   // the same, for results kept
--- a/src/core/services.cpp
+++ b/src/core/services.cpp
@@ -90,7 +90,7 @@
 // sampled is narrowed step by step. Our own machines come first: a replica on another part's
 // machine makes placements of its owner fail and starts later. Machines without a replica of the
 // job come before others, so that the loss of one takes few. Machines where the job failed come
-// last, and only if it has failed on several.
+// last, and only if it has failed on several or no other is left.
 int Controller::choose_for_replica(Pass& pass, const Job& job) {
   const wire::JobSpec& spec = job.record.spec;
   const bool bound_to_zones = spec.one_zone || spec.spread;
@@ -109,11 +109,19 @@
   const int machine =
       choose(pass.now, pass.pool, spec, replica_candidates(pass, choice, false, true), random_);
   if (machine >= 0) return machine;
-  if (!health_.faulty_job(spec.id)) return -1;
+  if (!health_.faulty_job(spec.id) && other_machine_left(pass, spec)) return -1;
   choice.avoid_failed = false;
   return choose(pass.now, pass.pool, spec, replica_candidates(pass, choice, true, false), random_);
 }
 
+// Whether some machine on which the job has not failed is allowed, with room or without.
+bool Controller::other_machine_left(const Pass& pass, const wire::JobSpec& spec) const {
+  return std::any_of(pass.pool.begin(), pass.pool.end(), [&](const Candidate* c) {
+    return allowed(spec, c->type, c->zone, c->spot) &&
+           !health_.failed_here(pass.now, c->id, spec.id);
+  });
+}
+
 std::vector<int> Controller::replica_candidates(const Pass& pass, const ReplicaChoice& choice,
                                                 bool own, bool without_replica) const {
   const wire::JobSpec& spec = *choice.spec;
--- /dev/null
+++ b/tests/alone.h
@@ -0,0 +1,229 @@
+// A fixture for tests of one controller by itself: the state stand-in, a cloud with one machine,
+// and that machine, which does what the test lets it.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/controller.h"
+#include "sim/state_stand_in.h"
+
+namespace puffinhaven::core {
+
+class Alone : public testing::Test {
+ protected:
+  Alone() {
+    Settings s;
+    s.name = "puffin-0";
+    s.zone = "a";
+    s.teams = {{"t", 0, 0, 0, 0}};
+    s.report_s = 1;
+    s.lease_s = 8;
+    s.gang_wait_s = 6;
+    s.gang_peer_s = 2;
+    s.cancel_s = 20;
+    s.state_rps = 400;
+    s.state_write_rps = 150;
+    s.value_kb = 8;
+    s.txn_ops = 24;
+    s.cloud_rps = 5;
+    s.list_lag_s = 1;
+    settings_ = s;
+    core_ = std::make_unique<Controller>(s, 7);
+    core_->start(now_, now_);
+    run(3000);
+    report(1);
+    run(3000);
+  }
+
+  // The process has ended and another has taken its place: a new epoch.
+  void restart() {
+    late_.clear();
+    core_ = std::make_unique<Controller>(settings_, 8);
+    core_->start(now_, now_);
+    run(1000);
+    ASSERT_TRUE(core_->ready());
+  }
+
+  // What the core asks for is carried out, and time passes.
+  void run(Ms lasts) {
+    for (const Ms end = now_ + lasts; now_ < end; now_ += 20) {
+      core_->tick(now_, now_);
+      state_.end_holds(now_);
+      state_.serve_watchers(now_, [](std::size_t) { return true; });
+      pump();
+      std::erase_if(late_, [this](const auto& l) {
+        if (l.first > now_) return false;
+        core_->on_outcome(now_, l.second, {0, ""});
+        return true;
+      });
+    }
+  }
+
+  void pump() {
+    for (auto out = core_->take_output();
+         !out.calls.empty() || !out.answers.empty() || !out.logs.empty() || !out.peers.empty();
+         out = core_->take_output()) {
+      for (const auto& a : out.answers) answers_[a.request] = a;
+      for (const auto& c : out.calls) carry_out(c);
+    }
+  }
+
+  void carry_out(const Call& c) {
+    auto done = [this, id = c.id](int status, const std::string& body) {
+      core_->on_outcome(now_, id, {status, body});
+    };
+    if (garbage_) {
+      static const std::vector<std::string> bodies{"",
+                                                   "{",
+                                                   "[]",
+                                                   "null",
+                                                   R"({"ledger":-1})",
+                                                   R"({"events":[7],"ledger":1})",
+                                                   "\xff",
+                                                   R"({"rigs":[{"id":5}],"hasNext":1})",
+                                                   R"({"pairs":[{}],"hasNext":false,"ledger":3})"};
+      done(200, bodies[c.id % bodies.size()]);
+    } else if (c.target == Target::state && !lose_.empty() && c.path.starts_with(lose_)) {
+      state_.serve(now_, c, 0, [](int, const std::string&) {});
+      late_.emplace_back(now_ + c.timeout, c.id);
+    } else if (c.target == Target::state) {
+      state_.serve(now_, c, 0, done);
+    } else if (c.target == Target::worker) {
+      ++direct_;
+      if (reachable_) {
+        rapidjson::Document doc;
+        if (wire::parse_object(c.body, doc)) {
+          token_ = std::max(token_, doc["baton"].GetUint64());
+          obey(doc["orders"]);
+        }
+        done(200, body(session_, ++sequence_));
+      } else {
+        late_.emplace_back(now_ + c.timeout, c.id);
+      }
+    } else if (c.path == "/catalog") {
+      done(200,
+           R"({"fleets":[{"label":"g","cpus":8,"gpus":0,"memGb":32,"localGb":50,"fetchGbPerS":1,)"
+           R"("rate":1,"marketPrice":0.3,"readyS":3,"yards":["a"]}]})");
+    } else if (c.path.starts_with("/hosts?")) {
+      done(200, R"({"rigs":[{"id":"n-1","endpoint":"n-1:1","fleet":"g","yard":"a","standby":false,)"
+                R"("status":"running","heldS":9}],"hasNext":false})");
+    } else {
+      done(503, R"({"error":"no capacity"})");
+    }
+  }
+
+  std::string body(std::uint64_t session, std::uint64_t sequence, const char* id = "n-1") const {
+    sim::Put p;
+    p.str("rig", id);
+    p.str("endpoint", std::string(id) + ":1");
+    p.str("fleet", "g");
+    p.str("yard", "a");
+    p.raw("standby", "false");
+    p.num("shift", session);
+    p.num("tally", sequence);
+    p.num("baton", token_);
+    std::string loads;
+    for (const auto& [task, exited] : tasks_) {
+      sim::Put l;
+      l.str("load", task.first);
+      l.num("try", task.second);
+      l.str("status", exited ? "exited" : "running");
+      if (exited) l.str("cause", cause_);
+      loads += (loads.empty() ? "" : ",") + l.done();
+    }
+    p.raw("loads", "[" + loads + "]");
+    return p.done();
+  }
+
+  // The machine carries out what it is told, if this test lets it.
+  void obey(const wire::Json& orders) {
+    for (const auto& o : orders.GetArray()) {
+      const std::string verb = o["verb"].GetString();
+      const std::pair<std::string, std::uint64_t> task{o["load"].GetString(), o["try"].GetUint64()};
+      if (verb == "start") ++starts_;
+      if (!obeys_) continue;
+      if (verb == "start") tasks_.try_emplace(task, false);
+      if (verb == "halt" && tasks_.contains(task)) tasks_[task] = true;
+      if (verb == "clear") tasks_.erase(task);
+    }
+  }
+
+  Answer report(std::uint64_t sequence, const char* id = "n-1") {
+    const std::uint64_t request = next_++;
+    if (id == std::string("n-1")) sequence_ = std::max(sequence_, sequence);
+    core_->on_request(now_, request, {"POST", "/hello", body(session_, sequence, id)});
+    pump();
+    const Answer a = answers_[request];
+    rapidjson::Document doc;
+    if (hears_ && a.status == 200 && wire::parse_object(a.body, doc)) {
+      token_ = std::max(token_, doc["baton"].GetUint64());
+      obey(doc["orders"]);
+    }
+    return a;
+  }
+
+  // A report that was sent before the machine had any task arrives only now.
+  void report_from_before(std::uint64_t session, std::uint64_t sequence) {
+    const auto tasks = std::exchange(tasks_, {});
+    core_->on_request(now_, next_++, {"POST", "/hello", body(session, sequence)});
+    tasks_ = tasks;
+    pump();
+  }
+
+  // The answer's status, 0 as long as there is none.
+  int status(std::uint64_t request) const {
+    auto a = answers_.find(request);
+    return a == answers_.end() ? 0 : a->second.status;
+  }
+
+  // A job of two tasks that run.
+  void start_two() {
+    obeys_ = true;
+    EXPECT_EQ(report(50).status, 200);
+    submit("req-000001");
+    run(1000);
+    ASSERT_EQ(tasks_.size(), 2U);
+  }
+
+  std::uint64_t cancel(const std::string& id) {
+    const std::uint64_t request = next_++;
+    core_->on_request(now_, request, {"POST", "/v1/jobs/" + id + "/withdraw", ""});
+    pump();
+    return request;
+  }
+
+  static std::string job_body(const std::string& id) {
+    return R"({"id":")" + id +
+           R"(","queue":"c","crew":"t","shape":"batch","rank":"standard","loads":2,"cpus":1.0,)"
+           R"("gpus":0.0,"memGb":1.0,"kit":"i","pullGb":0.1,"together":false,"scatter":false,)"
+           R"("standby":true,"haulS":60.0,"tipS":0.0,"stowS":0.0})";
+  }
+
+  void submit(const std::string& id) {
+    core_->on_request(now_, next_++, {"POST", "/v1/jobs", job_body(id)});
+  }
+
+  Ms now_ = 1000;
+  Settings settings_;
+  std::unique_ptr<Controller> core_;
+  sim::StateStandIn state_;
+  std::map<std::uint64_t, Answer> answers_;
+  std::vector<std::pair<Ms, std::uint64_t>> late_;  // calls that get no answer
+  std::uint64_t next_ = 1, session_ = 1, sequence_ = 0, token_ = 0;
+  bool reachable_ = true, hears_ = true, obeys_ = false;
+  std::string cause_ = "stopped";  // of what has exited
+  // What the machine has: task and attempt, and whether it has exited.
+  std::map<std::pair<std::string, std::uint64_t>, bool> tasks_;
+  int direct_ = 0, starts_ = 0;
+  bool garbage_ = false;  // all that is asked for is answered with it
+  std::string lose_;  // state service: requests whose path begins so are carried out, unanswered
+};
+
+}  // namespace puffinhaven::core
