--- a/tests/sim/actors.h
+++ b/tests/sim/actors.h
@@ -62,6 +62,8 @@
     bool present = false;  // has its image, has not exited: it is on the machine
     double grace_ms = 0;
     Ms alone_at = 0;
+    Ms ends_at = 0;  // of a replica, by itself; 0: never
+    ExitCause ends_with = ExitCause::none;
   };
   std::string id, zone, address;
   bool spot = false, up = false, dead = false, hanging = false, sick = false;
@@ -74,6 +76,7 @@
   std::size_t node = 0;
   Ms notice_ends = 0;
   std::map<wire::TaskId, Task> tasks;
+  std::set<wire::TaskId> results_kept;  // replicas that were done here end at once from then on
 };
 
 struct World::UserJob {
@@ -85,6 +88,7 @@
   bool accepted = false, told_done = false, told_cancelled = false, asked_cancel = false;
   Ms cancelled_at = 0, told_at = 0, answered_at = 0, submitted_at = 0, begun_at = 0;
   Ms cancel_asked_at = 0;
+  Ms cancel_planned_at = 0;  // of a service, by its user
   Ms accepted_at = 0, waits_since = 0;
   std::map<std::uint32_t, double> progress;  // saved, per task
   double gang_progress = 0;
--- a/tests/sim/machines.cpp
+++ b/tests/sim/machines.cpp
@@ -275,11 +275,12 @@
         t.since = now_;
         if (w.sick || job.mistake) {
           end_task(w, task, t.attempt, ExitCause::error, false);
-        } else if (job.completed.contains(task.index)) {
+        } else if (job.completed.contains(task.index) || w.results_kept.contains(task)) {
           end_task(w, task, t.attempt, ExitCause::done, false);
         } else {
           t.state = job.spec.is_gang() ? TaskState::waiting : TaskState::running;
           t.work_ms = job.progress[task.index];
+          if (job.spec.is_service()) replica_begins(w, task);
           w.changed = true;
         }
         break;
@@ -289,6 +290,10 @@
         break;
       case TaskState::running:
         if (job.spec.is_gang()) break;  // with its peers
+        if (t.ends_at != 0 && now_ >= t.ends_at) {
+          replica_ends(w, task);
+          break;
+        }
         t.work_ms += kWorkerStepMs;
         if (job.spec.checkpoint_s > 0) {
           const double interval = job.spec.checkpoint_s * 1000;
--- a/tests/sim/referee.cpp
+++ b/tests/sim/referee.cpp
@@ -41,19 +41,26 @@
     broke("started_cancelled", wire::task_name(task.job, task.index) + " on " + w.id);
 }
 
-// What can never run must not be accepted. Machines of the one type have 8 CPUs and 32 GB.
-void World::check_accepted(const UserJob& job) {
-  const auto& s = job.spec;
+// Why the job can never run, or "". Machines of the one type have 8 CPUs and 32 GB.
+std::string World::reason_never_to_run(const wire::JobSpec& s) const {
   const auto team = std::find_if(settings_.teams.begin(), settings_.teams.end(),
                                  [&](const auto& t) { return t.name == s.team; });
   const bool zone =
       s.zone.empty() || std::find(std::begin(kZones), std::end(kZones), s.zone) != std::end(kZones);
   if (s.cpus > 8 || s.gpus > 0 || s.memory_gb > 32 || !zone || team == settings_.teams.end())
-    broke("accepted_wrong", s.id + " fits nothing");
-  else if (team->cpus_max > 0 && s.cpus * (s.is_gang() ? s.tasks : 1) > team->cpus_max)
-    broke("accepted_wrong", s.id + " needs more than its team may use");
-  else if (s.is_gang() && s.spread && s.tasks > 1 && (s.one_zone || !s.zone.empty()))
-    broke("accepted_wrong", s.id + " can never be whole");
+    return "fits nothing";
+  const bool all_at_once = s.is_gang() || s.is_service();
+  if (team->cpus_max > 0 && s.cpus * (all_at_once ? s.tasks : 1) > team->cpus_max)
+    return "needs more than its team may use";
+  if (s.is_gang() && s.spread && s.tasks > 1 && (s.one_zone || !s.zone.empty()))
+    return "can never be whole";
+  return "";
+}
+
+// What can never run must not be accepted.
+void World::check_accepted(const UserJob& job) {
+  const std::string reason = reason_never_to_run(job.spec);
+  if (!reason.empty()) broke("accepted_wrong", job.spec.id + " " + reason);
 }
 
 double World::free_cpus(const Worker& w) const {
@@ -86,16 +93,23 @@
   return (s.one_zone ? most : all) >= needed;
 }
 
+// By team, counting what is still fetching its image.
+std::map<std::string, double> World::used_cpus() const {
+  std::map<std::string, double> used;
+  for (const auto& [id, w] : workers_)
+    for (const auto& [task, t] : w->tasks)
+      if (!w->dead && t.state != TaskState::exited)
+        used[jobs_.at(task.job).spec.team] += jobs_.at(task.job).spec.cpus;
+  return used;
+}
+
 void World::check_waiting() {
   constexpr Ms kPatience = 90'000;
-  std::map<std::string, double> used;
+  const std::map<std::string, double> used = used_cpus();
   std::set<std::string> placed;
   for (const auto& [id, w] : workers_)
-    for (const auto& [task, t] : w->tasks) {
-      if (w->dead || t.state == TaskState::exited) continue;
-      used[jobs_.at(task.job).spec.team] += jobs_.at(task.job).spec.cpus;
-      placed.insert(task.job);
-    }
+    for (const auto& [task, t] : w->tasks)
+      if (!w->dead && t.state != TaskState::exited) placed.insert(task.job);
   for (auto& [id, j] : jobs_) {
     // Who fails everywhere is tried again ever more rarely.
     const bool waits = j.accepted && !j.asked_cancel && !j.mistake && !placed.contains(id) &&
@@ -144,6 +158,7 @@
 void World::told(const std::string& id, const std::string& status, Ms asked) {
   auto& job = jobs_.at(id);
   if (status == "done") {
+    if (job.spec.is_service()) broke("not_done", id + " is a service");
     if (job.completed.size() < job.spec.tasks) broke("not_done", id);
     if (job.told_cancelled) broke("went_back", id + " cancelled, then done");
     if (!job.told_done) job.told_at = now_;
--- /dev/null
+++ b/tests/sim/services.cpp
@@ -0,0 +1,151 @@
+// Services: what their users ask for, how replicas end by themselves, and that they run.
+#include <algorithm>
+#include <cmath>
+
+#include "sim/actors.h"
+#include "sim/world.h"
+#include "wire/messages.h"
+
+namespace puffinhaven::sim {
+
+namespace {
+constexpr double kNeverDoneMs = 1e12;         // of work that a replica has
+constexpr Ms kReplicaMayBeDownMs = 20'000;    // in calm, beside room for it
+constexpr double kShareOverTheLimit = 0.04;   // of services, which are to be refused
+constexpr double kShareCancelledEarly = 0.5;  // of services; the others run on in calm
+}  // namespace
+
+bool World::service_is_next() {
+  return options_.services > 0 && now_ > services_from_ && chance(options_.services);
+}
+
+void World::new_service() {
+  UserJob job;
+  auto& s = job.spec;
+  s.id = "req-" + pad(next_job_++);
+  s.job_class = "standing";
+  s.team = chance(0.4) ? "tight" : "free";
+  s.shape = wire::JobShape::service;
+  s.priority = wire::Priority::production;
+  s.tasks = 1 + static_cast<std::uint32_t>(random(6));
+  s.cpus = 1 + random(4);
+  s.memory_gb = 1;
+  s.image = "i" + std::to_string(random(4));
+  s.image_gb = 0.4;
+  switch (random(5)) {
+    case 0:
+      s.spread = true;
+      break;
+    case 1:
+      s.one_zone = true;
+      break;
+    case 2:
+      s.zone = kZones[random(3)];
+      break;
+    default:
+      break;
+  }
+  s.spot = chance(0.5);
+  if (chance(0.2)) {
+    s.checkpoint_s = 2;
+    s.save_s = 1;
+  }
+  if (chance(kShareOverTheLimit)) {
+    s.team = "tight";
+    s.tasks = static_cast<std::uint32_t>(options_.limit_cpus / s.cpus) + 1;
+  }
+  job.work_ms = kNeverDoneMs;
+  job.mistake = chance(options_.mistaken);
+  job.submitted_at = now_;
+  const bool early = chance(kShareCancelledEarly);
+  job.cancel_planned_at =
+      early ? now_ + 20'000 + random(40'000) : options_.busy_ms + options_.services_calm_ms;
+  const std::string id = s.id;
+  jobs_[id] = job;
+  submit(id, 0);
+}
+
+// Whether a service may be refused so. A controller of the production version would answer 400,
+// but services are submitted after the upgrade alone.
+void World::check_refused(const UserJob& job, int status) {
+  if (!job.spec.is_service()) return;
+  if (status != 422 || reason_never_to_run(job.spec).empty())
+    broke("refused_wrong", job.spec.id + " got " + std::to_string(status));
+}
+
+void World::replica_begins(Worker& w, const wire::TaskId& task) {
+  const bool first = replicas_begun_.insert(task).second;
+  if (!first) ++result_.replica_restarts;
+  if (options_.replicas_end <= 0 || !chance(options_.replicas_end)) return;
+  Worker::Task& t = w.tasks.at(task);
+  t.ends_at = now_ + 1000 + random(30'000);
+  t.ends_with = chance(0.5) ? ExitCause::done : ExitCause::error;
+}
+
+void World::replica_ends(Worker& w, const wire::TaskId& task) {
+  const Worker::Task t = w.tasks.at(task);
+  if (t.ends_with == ExitCause::done) w.results_kept.insert(task);
+  ++result_.replicas_ended;
+  end_task(w, task, t.attempt, t.ends_with, false);
+}
+
+// Whether the replica, which is on no machine, could be started on one now.
+bool World::replica_has_room(const UserJob& job, const wire::TaskId& replica,
+                             const std::map<std::string, double>& used) const {
+  const auto& s = job.spec;
+  const auto of_team = used.find(s.team);
+  const double team_uses = of_team == used.end() ? 0 : of_team->second;
+  for (const auto& team : settings_.teams)
+    if (team.name == s.team && team.cpus_max > 0 && team_uses + s.cpus > team.cpus_max)
+      return false;
+  std::map<std::string, std::uint32_t> others;  // of the job, by zone
+  for (const auto& [id, w] : workers_) {
+    if (w->dead) continue;
+    for (const auto& [task, t] : w->tasks)
+      if (task.job == replica.job && t.state != TaskState::exited) ++others[w->zone];
+  }
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const Worker& w = *entry.second;
+    const std::uint32_t here = others.contains(w.zone) ? others.at(w.zone) : 0;
+    if (w.spot && !s.spot) return false;
+    if (!s.zone.empty() && w.zone != s.zone) return false;
+    if (s.one_zone && !others.empty() && here == 0) return false;
+    if (s.spread && here + 1 > (s.tasks + 1) / 2) return false;
+    return free_cpus(w) >= s.cpus && !w.results_kept.contains(replica);
+  });
+}
+
+// In calm: which replicas are down although there is room.
+void World::check_services() {
+  const std::map<std::string, double> used = used_cpus();
+  std::set<wire::TaskId> placed, present;
+  for (const auto& [id, w] : workers_) {
+    if (w->dead || !w->up) continue;
+    for (const auto& [task, t] : w->tasks) {
+      if (t.state != TaskState::exited) placed.insert(task);
+      if (t.present) present.insert(task);
+    }
+  }
+  for (auto& [id, job] : jobs_) {
+    if (!job.spec.is_service() || !job.accepted || job.asked_cancel || job.mistake) continue;
+    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
+      const wire::TaskId replica{id, i};
+      const bool runs = present.contains(replica);
+      const bool could_run =
+          runs || placed.contains(replica) || replica_has_room(job, replica, used);
+      result_.replica_s_due += could_run;
+      result_.replica_s_served += runs;
+      if (runs || !could_run) {
+        replica_down_since_.erase(replica);
+        continue;
+      }
+      Ms& since = replica_down_since_.emplace(replica, now_).first->second;
+      if (now_ - since <= kReplicaMayBeDownMs) continue;
+      broke("service_down", wire::task_name(id, i) + ": on no machine since " +
+                                std::to_string(since) + ", with room for it");
+      since = now_;
+    }
+  }
+}
+
+}  // namespace puffinhaven::sim
--- a/tests/sim/state_stand_in.h
+++ b/tests/sim/state_stand_in.h
@@ -43,10 +43,18 @@
   return out;
 }
 
+// What one transaction may hold, and how much may change in a second (PROTOCOL, "Limits and
+// errors"). Every request is checked against the limits of its moment; what is stored stays.
+struct StateLimits {
+  unsigned txn_ops = 24;  // puts and deletes; four times as many conditions
+  std::size_t value_bytes = 8 * 1024;
+  double writes_per_s = 0;  // 0: no limit
+};
+
 struct StateStandIn {
-  static constexpr unsigned kTxnOps = 24;
-  static constexpr std::size_t kValueBytes = 8 * 1024;
-  int over_limits = 0;
+  StateLimits limits;
+  int over_limits = 0;  // transactions refused with 400 for their size
+  int throttled = 0;    // transactions refused with 429 for their rate
   struct Item {
     std::string value;
     std::uint64_t version = 0;
@@ -71,6 +79,9 @@
   bool outage = false;
   bool holds_wait = false;  // none ends in this outage
   bool ignore_guards = false;
+  // Of the changes that the rate allows now, and when that was counted.
+  double burst_left = 0;
+  Ms burst_counted_at = 0;
 
   void change(const std::string& key, std::optional<std::string> value) {
     changes.push_back({revision, key, std::move(value)});
@@ -127,18 +138,46 @@
     for (auto& [respond, body] : ready) respond(200, body);
   }
 
-  void transact(const std::string& body, const Respond& respond) {
+  bool too_large(const std::string& body, const wire::Json& transaction) const {
+    const auto& writes = transaction["writes"];
+    if (body.size() > 64 * 1024 || writes.Size() > limits.txn_ops ||
+        transaction["guards"].Size() > 4 * limits.txn_ops)
+      return true;
+    return std::any_of(writes.Begin(), writes.End(), [this](const wire::Json& w) {
+      return w.HasMember("v") && wire::text_of(w["v"]).size() > limits.value_bytes;
+    });
+  }
+
+  void set_limits(Ms now, const StateLimits& next) {
+    limits = next;
+    burst_left = limits.writes_per_s;
+    burst_counted_at = now;
+  }
+
+  // Takes the changes of a transaction out of the rate, of which a second's worth may come at once.
+  bool within_rate(Ms now, unsigned changes_wanted) {
+    if (limits.writes_per_s <= 0) return true;
+    const double refill =
+        static_cast<double>(now - burst_counted_at) / 1000.0 * limits.writes_per_s;
+    burst_left = std::min(limits.writes_per_s, burst_left + refill);
+    burst_counted_at = now;
+    if (burst_left < changes_wanted) return false;
+    burst_left -= changes_wanted;
+    return true;
+  }
+
+  void transact(Ms now, const std::string& body, const Respond& respond) {
     rapidjson::Document doc;
     if (!wire::parse_object(body, doc)) return respond(400, "{}");
-    // PROTOCOL's limits, with the settings of World.
-    bool over = body.size() > 64 * 1024 || doc["writes"].Size() > kTxnOps ||
-                doc["guards"].Size() > 4 * kTxnOps;
-    for (const auto& w : doc["writes"].GetArray())
-      over = over || (w.HasMember("v") && wire::text_of(w["v"]).size() > kValueBytes);
-    if (over) {
+    if (too_large(body, doc)) {
       ++over_limits;
       return respond(400, R"({"error":"too large"})");
     }
+    // Before the conditions: those that fail count as well.
+    if (!within_rate(now, doc["writes"].Size())) {
+      ++throttled;
+      return respond(429, "{}");
+    }
     std::string failed;
     for (const auto& g : doc["guards"].GetArray()) {
       auto it = items.find(g["k"].GetString());
@@ -196,7 +235,7 @@
       auto q = query(call.path);
       watchers.push_back({std::stoull(q["after"]), now + std::stoll(q["blockMs"]), node, respond});
     } else if (call.path == "/multi") {
-      transact(call.body, respond);
+      transact(now, call.body, respond);
     } else if (call.path == "/holds") {
       rapidjson::Document doc;
       wire::parse_object(call.body, doc);
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -260,8 +260,15 @@
   std::map<std::string, std::vector<const UserJob*>> classes;
   for (const auto& [id, j] : jobs_) {
     // Those of the last minutes may well be on their way.
-    if (!j.accepted || j.mistake || j.asked_cancel || now_ - j.submitted_at < kBeginWithin)
+    if (!j.accepted || j.mistake) continue;
+    if (j.spec.is_service()) {
+      // It has been served when its user, who no longer needs it, has been told that it is over.
+      auto& [all, over] = result_.served["services"];
+      ++all;
+      over += j.told_cancelled ? 1 : 0;
       continue;
+    }
+    if (j.asked_cancel || now_ - j.submitted_at < kBeginWithin) continue;
     classes[j.spec.job_class].push_back(&j);
   }
   auto count = [this](const std::string& what, const UserJob& j) {
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -11,6 +11,7 @@
 namespace puffinhaven::sim {
 
 void World::new_job() {
+  if (service_is_next()) return new_service();
   UserJob job;
   auto& s = job.spec;
   s.id = "req-" + pad(next_job_++);
@@ -94,12 +95,15 @@
                if (!wire::parse_object(body, doc)) return broke("answer", body);
                told(id, doc["status"].GetString(), asked);
                if (first) at(now_ + 1000, [this, id] { poll(id); });
+               if (first && job.cancel_planned_at)
+                 at(job.cancel_planned_at, [this, id] { cancel(id, 0); });
                // Repeated at any later time.
                if (chance(0.3)) at(now_ + random(60'000), [this, id] { submit(id, 0); });
                return;
              }
              if (status == 400 || status == 422) {
                if (job.accepted) broke("forgotten", id + " is now " + std::to_string(status));
+               check_refused(job, status);
                // Gangs over the team's limit and the like: right to refuse.
                return;
              }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -11,6 +11,10 @@
 
 namespace puffinhaven::sim {
 
+namespace {
+constexpr double kWritesPerS = 150;  // that the state service allows, as controllers are told
+}
+
 World::~World() = default;
 
 World::World(const Options& options)
@@ -31,9 +35,15 @@
   settings_.gang_peer_s = 2;
   settings_.cancel_s = options.cancel_s;
   settings_.state_rps = 400;
-  settings_.state_write_rps = 150;
-  settings_.value_kb = StateStandIn::kValueBytes / 1024.0;
-  settings_.txn_ops = StateStandIn::kTxnOps;
+  settings_.state_write_rps = kWritesPerS;
+  settings_.value_kb = static_cast<double>(state_->limits.value_bytes) / 1024.0;
+  settings_.txn_ops = static_cast<int>(state_->limits.txn_ops);
+  if (options_.limits_drop_at) {  // announced from the start; when, nobody is told
+    const StateLimits& next = options_.limits_after;
+    settings_.state_write_rps = std::min(kWritesPerS, next.writes_per_s);
+    settings_.value_kb = static_cast<double>(next.value_bytes) / 1024.0;
+    settings_.txn_ops = static_cast<int>(next.txn_ops);
+  }
   settings_.cloud_rps = 5;
   settings_.list_lag_s = 1;
   const char* zones[] = {"a", "b", "a"};
@@ -87,6 +97,10 @@
   for (const auto& p : options_.planned) at(p.at, [this, p] { trouble(p.kind, p.node, p.lasts); });
   for (Ms t = 1000; t < end; t += 1000) at(t, [this] { probe_health(); });
   for (Ms t = options_.busy_ms + 1000; t < end; t += 1000) at(t, [this] { check_waiting(); });
+  if (options_.limits_drop_at)
+    at(options_.limits_drop_at, [this] { state_->set_limits(now_, options_.limits_after); });
+  if (options_.services > 0)
+    for (Ms t = options_.busy_ms + 1000; t < end; t += 1000) at(t, [this] { check_services(); });
   if (options_.cancel_all_at)
     at(options_.cancel_all_at, [this] {
       for (auto& [id, j] : jobs_)
@@ -137,6 +151,7 @@
       std::count_if(state_->changes.begin(), state_->changes.end(),
                     [](const StateStandIn::Change& c) { return c.key == wire::kViewKey; }));
   result_.over_limits = state_->over_limits;
+  result_.throttled = state_->throttled;
   result_.peak_requests = state_->peak_requests;
   result_.peak_writes = state_->peak_writes;
   for (const auto& n : nodes_)
@@ -146,6 +161,7 @@
     ++result_.accepted;
     if (j.told_done) ++result_.done;
     if (j.told_cancelled) ++result_.cancelled;
+    if (j.spec.is_service()) ++result_.services;
     if (j.told_done && j.spec.is_gang()) ++result_.gangs_done;
     if (j.told_done && j.spec.spread) ++result_.spread_done;
     if (j.told_done && options_.large_gang && j.spec.tasks == options_.large_gang)
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -92,6 +92,14 @@
   std::uint32_t large_gang = 0;  // tasks of one gang of whole machines, as the tenth job
   double bound = 0;              // share of jobs that `together` or `yard` binds to one zone
   double cancel_s = 20;
+  // Share of jobs that are services, of which half are cancelled when they have run for 20 to 60 s,
+  // the others in calm after `services_calm_ms`; and share of replicas that end by themselves.
+  double services = 0;
+  Ms services_calm_ms = 60'000;
+  double replicas_end = 0;
+  // The limits of the state service from then on, without notice; 0: never.
+  Ms limits_drop_at = 0;
+  StateLimits limits_after{8, 2 * 1024, 28};
   std::string trace;  // prints what mentions this (a machine, a job) to standard error
   // Taken out:
   bool state_ignores_guards = false;
@@ -113,7 +121,8 @@
   // tenth of each class; and how many of the largest had not begun after four minutes.
   std::map<std::string, std::pair<int, int>> served;
   bool large_gang_done = false;
-  int over_limits = 0;  // transactions that the state service refuses for their size
+  // Transactions that the state service refuses for their size, and for their rate.
+  int over_limits = 0, throttled = 0;
   int largest_late = 0, largest_seen = 0;
   // Most that were served in a second: requests, and changes.
   int peak_requests = 0, peak_writes = 0;
@@ -130,6 +139,10 @@
   int isolated_healthy = 0, isolated_unhealthy = 0, outage_healthy = 0, outage_unhealthy = 0;
   int users_at_isolated = 0;  // requests of users that an isolated controller answered
   std::vector<std::pair<Ms, Ms>> cancellations;  // confirmed: when first asked for, and when told
+  // Services accepted; replicas that ended by themselves, and starts of those that had run before;
+  // seconds of replicas in calm that were due, of accepted services with room, and were served.
+  int services = 0, replicas_ended = 0, replica_restarts = 0;
+  int replica_s_due = 0, replica_s_served = 0;
   int views = 0;
   int late_applied = 0, late_void = 0;      // late transactions that changed something, or failed
   std::map<std::string, double> most_used;  // CPUs, by team
@@ -183,12 +196,14 @@
   void worker_lease(Worker& w);
   void check_start(Worker& w, const wire::TaskId& task);
   void check_cancelled_start(const UserJob& job, const wire::TaskId& task, const Worker& w);
+  std::string reason_never_to_run(const wire::JobSpec& spec) const;
   void check_accepted(const UserJob& job);
   void check_all();
   // In calm: who waits although there is room.
   void check_waiting();
   bool has_room(const UserJob& job, const std::map<std::string, double>& used) const;
   double free_cpus(const Worker& w) const;
+  std::map<std::string, double> used_cpus() const;
   void end_task(Worker& w, const wire::TaskId& task, std::uint64_t attempt, wire::ExitCause cause,
                 bool saved);
   void gang_step();
@@ -202,6 +217,16 @@
   void ends(const std::string& id);
   void cancel(const std::string& id, int tries);
   void told(const std::string& id, const std::string& status, Ms asked);
+
+  bool service_is_next();
+  void new_service();
+  void check_refused(const UserJob& job, int status);
+  void replica_begins(Worker& w, const wire::TaskId& task);
+  void replica_ends(Worker& w, const wire::TaskId& task);
+  bool replica_has_room(const UserJob& job, const wire::TaskId& replica,
+                        const std::map<std::string, double>& used) const;
+  void check_services();
+
   void trouble();
   void trouble(Trouble kind, std::size_t node, Ms lasts);
   void probe_health();
@@ -226,6 +251,9 @@
   std::unique_ptr<Cloud> cloud_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, UserJob> jobs_;
+  std::set<wire::TaskId> replicas_begun_;
+  std::map<wire::TaskId, Ms> replica_down_since_;
+  Ms services_from_ = 0;             // none are submitted before
   std::map<wire::TaskId, Ms> lost_;  // by the end of a lease, when; until begun again
   std::uint64_t next_request_ = 1;
   int next_job_ = 1, next_machine_ = 0;
