--- /dev/null
+++ b/tests/services_sim_test.cpp
@@ -0,0 +1,295 @@
+// Services in seeded runs: under troubles, while the limits of the state service drop, and while
+// controllers of two versions serve side by side.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "sim/world.h"
+
+namespace puffinhaven::sim {
+namespace {
+
+std::string list(const std::vector<std::string>& lines) {
+  std::string out;
+  for (const auto& l : lines) out += l + "\n";
+  return out;
+}
+
+Options with_services(std::uint64_t seed) {
+  Options o;
+  o.seed = seed;
+  o.services = 0.25;
+  o.replicas_end = 0.05;
+  o.machines = 12;
+  o.capacity = 6;
+  o.calm_ms = 600'000;
+  o.until_over = true;
+  if (const char* t = std::getenv("SIM_TRACE")) o.trace = t;
+  return o;
+}
+
+// Of one kind, every so often.
+void often(Options& o, Trouble kind, Ms from, Ms every, Ms lasts, std::size_t node = 0) {
+  for (Ms at = from; at < o.busy_ms - 5000; at += every)
+    o.planned.push_back({at, kind, node, lasts});
+}
+
+bool only_other_seed(std::uint64_t seed) {
+  const char* only = std::getenv("SIM_ONLY");  // one seed, to trace it
+  return only && std::strtoull(only, nullptr, 10) != seed;
+}
+
+void expect_rules_hold(const Result& r, std::uint64_t seed) {
+  EXPECT_TRUE(r.broken.empty()) << "seed " << seed << "\n" << list(r.broken);
+  EXPECT_TRUE(r.unfinished.empty()) << "seed " << seed << "\n" << list(r.unfinished);
+  EXPECT_GT(r.services, 0) << "seed " << seed;
+}
+
+// Share of the time in calm in which replicas ran, of that in which there was room.
+double served(const Result& r) {
+  return r.replica_s_due ? static_cast<double>(r.replica_s_served) / r.replica_s_due : 0;
+}
+
+TEST(Services, RunUntilCancelledOnAQuietDay) {
+  Options o = with_services(7);
+  o.troubles = false;
+  const Result r = World(o).run();
+  expect_rules_hold(r, o.seed);
+  EXPECT_GT(r.services, 8);
+  EXPECT_GT(r.replica_s_due, 500);
+  EXPECT_GT(served(r), 0.95);
+}
+
+// A third of the replicas end by themselves, done or in error.
+TEST(Services, ReplicasThatEndRunAgain) {
+  int ended = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    if (only_other_seed(seed)) continue;
+    Options o = with_services(seed);
+    o.troubles = false;
+    o.replicas_end = 0.33;
+    const Result r = World(o).run();
+    expect_rules_hold(r, seed);
+    EXPECT_GE(r.replica_restarts, r.replicas_ended / 2) << "seed " << seed;
+    ended += r.replicas_ended;
+  }
+  EXPECT_GT(ended, 50);
+}
+
+class ServicesUnderTroubles : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(ServicesUnderTroubles, RulesHoldAndEverythingEnds) {
+  Options o = with_services(GetParam());
+  if (o.seed % 3 == 0) o.longest_task_s = 30;
+  const Result r = World(o).run();
+  expect_rules_hold(r, o.seed);
+  EXPECT_EQ(r.over_limits, 0);
+}
+
+// More seeds than CI runs, by SIM_SEEDS=200.
+std::uint64_t seeds() {
+  const char* n = std::getenv("SIM_SEEDS");
+  return n ? std::strtoull(n, nullptr, 10) : 20;
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, ServicesUnderTroubles,
+                         testing::Range<std::uint64_t>(1, seeds() + 1));
+
+TEST(Services, RunOnAsMachinesDie) {
+  int restarts = 0;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    if (only_other_seed(seed)) continue;
+    Options o = with_services(seed);
+    o.troubles = false;
+    o.services = 0.4;
+    o.replicas_end = 0;
+    often(o, Trouble::machine_dies, 10'000, 4'000, 0);
+    if (seed % 2 == 0) often(o, Trouble::spot_wave, 20'000, 20'000, 0);
+    if (seed % 3 == 0) often(o, Trouble::machine_noticed, 12'000, 5'000, 0);
+    const Result r = World(o).run();
+    expect_rules_hold(r, seed);
+    restarts += r.replica_restarts;
+  }
+  EXPECT_GT(restarts, 30);
+}
+
+TEST(Services, ZonesCutOff) {
+  int restarts = 0;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    if (only_other_seed(seed)) continue;
+    Options o = with_services(seed);
+    o.troubles = false;
+    o.services = 0.4;
+    o.planned = {{25'000, Trouble::zone_cut, seed % 3, 40'000}};
+    if (seed > 3) o.planned.push_back({32'000, Trouble::crash_one, seed % 2, 0});
+    const Result r = World(o).run();
+    expect_rules_hold(r, seed);
+    restarts += r.replica_restarts;
+  }
+  EXPECT_GT(restarts, 10);
+}
+
+TEST(Services, CancelledOnHangingMachines) {
+  int hanging = 0;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    if (only_other_seed(seed)) continue;
+    Options o = with_services(seed);
+    o.troubles = false;
+    o.services = 0.5;
+    o.cancel_s = 12;
+    o.limit_cpus = 80;
+    often(o, Trouble::cancel_now, 15'000, 13'000, 2'000 + 900 * static_cast<Ms>(seed));
+    const Result r = World(o).run();
+    expect_rules_hold(r, seed);
+    hanging += r.cancelled_hanging;
+  }
+  EXPECT_GT(hanging, 30);
+}
+
+// ---- the limits of the state service ----
+
+// Hundreds of machines, arrays spread over all of them, more of it than they can hold.
+Options full_backlog(std::uint64_t seed) {
+  Options o = with_services(seed);
+  o.services = 0.15;
+  o.machines = 150;
+  o.capacity = 60;
+  o.largest_array = 600;
+  o.job_every_ms = 800;
+  o.limit_cpus = 800;
+  o.longest_task_s = 15;
+  o.limits_drop_at = 55'000;
+  return o;
+}
+
+class StateLimitsDrop : public testing::TestWithParam<std::uint64_t> {};
+
+// In half of the runs what the production version has stored is larger than what may be written
+// from then on.
+TEST_P(StateLimitsDrop, NothingIsTooLargeAndEverythingEnds) {
+  Options o = full_backlog(GetParam());
+  o.troubles = false;
+  const bool after_an_upgrade = o.seed % 2 == 0;
+  if (after_an_upgrade) {
+    o.upgrade_from = 22'000;
+    o.upgrade_every = 5'000;
+  }
+  if (o.seed > 2) o.planned = {{70'000, Trouble::crash_all, 0, 0}};
+  const Result r = World(o).run();
+  expect_rules_hold(r, o.seed);
+  EXPECT_EQ(r.over_limits, 0);
+  if (after_an_upgrade) {
+    EXPECT_GT(r.oversized_at_upgrade, 0);
+  }
+  if (std::getenv("SIM_MET"))
+    std::printf("oversized %d, then %d, throttled %d\n", r.oversized_at_upgrade,
+                r.oversized_at_drop, r.throttled);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, StateLimitsDrop, testing::Range<std::uint64_t>(1, 5));
+
+// ---- the upgrade ----
+
+class Upgrade : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(Upgrade, RulesHoldWhileControllersAreReplaced) {
+  Options o = with_services(GetParam());
+  o.services = 0.5;
+  o.upgrade_from = 15'000;
+  // One after the other, or the second while the first comes back.
+  o.upgrade_every = o.seed % 3 == 0 ? 1'000 : 9'000;
+  if (o.seed % 2 == 0) o.limits_drop_at = 80'000;
+  const Result r = World(o).run();
+  expect_rules_hold(r, o.seed);
+  EXPECT_EQ(r.over_limits, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Upgrade, testing::Range<std::uint64_t>(1, 13));
+
+// Controllers that end before or after their turn, and once between two turns all of them.
+TEST(Services, ControllersCrashDuringTheUpgrade) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    if (only_other_seed(seed)) continue;
+    Options o = with_services(seed);
+    o.troubles = false;
+    o.services = 0.5;
+    o.upgrade_from = 15'000;
+    o.upgrade_every = 10'000;
+    for (Ms k = 0; k < 4; ++k)
+      o.planned.push_back({11'000 + 8'000 * k, Trouble::crash_one, (seed + k) % 3, 0});
+    if (seed % 2 == 0) o.planned.push_back({29'000, Trouble::crash_all, 0, 0});
+    if (seed % 3 == 0) o.planned.push_back({23'000, Trouble::stands_still, seed % 2, 9'000});
+    const Result r = World(o).run();
+    expect_rules_hold(r, seed);
+  }
+}
+
+// ---- the referee ----
+
+int broken_runs(Options o, const std::string& rule, std::uint64_t seeds) {
+  int n = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    o.seed = seed;
+    const Result r = World(o).run();
+    n += std::any_of(r.broken.begin(), r.broken.end(),
+                     [&](const auto& b) { return b.starts_with(rule); });
+  }
+  return n;
+}
+
+Options quiet_services() {
+  Options o = with_services(1);
+  o.troubles = false;
+  o.busy_ms = 50'000;
+  o.calm_ms = 150'000;
+  return o;
+}
+
+TEST(RefereeOfServices, SeesServicesCalledDone) {
+  Options o = quiet_services();
+  o.services = 1;
+  o.forge = [](const core::Request& r, Ms now, int& status, std::string& body) {
+    if (r.method != "GET" || status != 200 || now < 30'000) return;
+    const auto at = body.find("running");
+    if (at != std::string::npos) body.replace(at, 7, "done");
+  };
+  EXPECT_EQ(broken_runs(o, "not_done", 2), 2);
+}
+
+TEST(RefereeOfServices, SeesReplicasThatAreNotStartedAgain) {
+  Options o = quiet_services();
+  o.replicas_end = 0.1;
+  EXPECT_EQ(broken_runs(o, "service_down", 3), 0);
+  o.replicas_end = 1;
+  o.starts_ignored_from = 50'000;
+  EXPECT_EQ(broken_runs(o, "service_down", 3), 3);
+}
+
+TEST(RefereeOfServices, SeesServicesOverTheLimitOfTheirTeam) {
+  Options o = quiet_services();
+  o.services = 1;
+  o.forge = [](const core::Request& r, Ms, int& status, std::string& body) {
+    if (r.path != "/v1/jobs" || status != 422) return;
+    status = 201;
+    body = R"({"id":"req-000001","status":"pending"})";
+  };
+  EXPECT_GT(broken_runs(o, "accepted_wrong", 3), 0);
+}
+
+TEST(RefereeOfServices, SeesServicesRefusedThatCanRun) {
+  for (const int refusal : {400, 422}) {
+    Options o = quiet_services();
+    o.forge = [refusal](const core::Request& r, Ms, int& status, std::string&) {
+      if (r.path == "/v1/jobs" && r.body.find("\"daemon\"") != std::string::npos && status == 201)
+        status = refusal;
+    };
+    EXPECT_EQ(broken_runs(o, "refused_wrong", 2), 2) << refusal;
+  }
+}
+
+}  // namespace
+}  // namespace puffinhaven::sim
--- a/tests/sim/actors.h
+++ b/tests/sim/actors.h
@@ -32,6 +32,7 @@
   std::string name, zone;
   std::unique_ptr<core::Controller> controller;
   std::uint64_t generation = 0;
+  bool upgraded = true;  // else it starts as the production version
   bool refused_by_state = false, cut_from_workers = false, cut_from_state = false;
   bool cut_from_peers = false;
   Ms isolated_since = 0, away_until = 0;
--- a/tests/sim/services.cpp
+++ b/tests/sim/services.cpp
@@ -89,22 +89,21 @@
   end_task(w, task, t.attempt, t.ends_with, false);
 }
 
-// Whether the replica, which is on no machine, could be started on one now.
-bool World::replica_has_room(const UserJob& job, const wire::TaskId& replica,
-                             const std::map<std::string, double>& used) const {
+// A machine on which the replica, which is on none, could be started now, or "".
+std::string World::room_for_replica(const UserJob& job, const wire::TaskId& replica,
+                                    const std::map<std::string, double>& used) const {
   const auto& s = job.spec;
   const auto of_team = used.find(s.team);
   const double team_uses = of_team == used.end() ? 0 : of_team->second;
   for (const auto& team : settings_.teams)
-    if (team.name == s.team && team.cpus_max > 0 && team_uses + s.cpus > team.cpus_max)
-      return false;
+    if (team.name == s.team && team.cpus_max > 0 && team_uses + s.cpus > team.cpus_max) return "";
   std::map<std::string, std::uint32_t> others;  // of the job, by zone
   for (const auto& [id, w] : workers_) {
     if (w->dead) continue;
     for (const auto& [task, t] : w->tasks)
       if (task.job == replica.job && t.state != TaskState::exited) ++others[w->zone];
   }
-  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+  const auto fitting = std::find_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
     const Worker& w = *entry.second;
     const std::uint32_t here = others.contains(w.zone) ? others.at(w.zone) : 0;
     if (w.spot && !s.spot) return false;
@@ -113,6 +112,7 @@
     if (s.spread && here + 1 > (s.tasks + 1) / 2) return false;
     return free_cpus(w) >= s.cpus && !w.results_kept.contains(replica);
   });
+  return fitting == workers_.end() ? "" : fitting->first;
 }
 
 // In calm: which replicas are down although there is room.
@@ -131,8 +131,8 @@
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) {
       const wire::TaskId replica{id, i};
       const bool runs = present.contains(replica);
-      const bool could_run =
-          runs || placed.contains(replica) || replica_has_room(job, replica, used);
+      const std::string room = room_for_replica(job, replica, used);
+      const bool could_run = runs || placed.contains(replica) || !room.empty();
       result_.replica_s_due += could_run;
       result_.replica_s_served += runs;
       if (runs || !could_run) {
@@ -141,8 +141,11 @@
       }
       Ms& since = replica_down_since_.emplace(replica, now_).first->second;
       if (now_ - since <= kReplicaMayBeDownMs) continue;
+      const auto of_team = used.find(job.spec.team);
+      const double team_uses = of_team == used.end() ? 0 : of_team->second;
       broke("service_down", wire::task_name(id, i) + ": on no machine since " +
-                                std::to_string(since) + ", with room for it");
+                                std::to_string(since) + ", room on " + room + ", team " +
+                                job.spec.team + " uses " + std::to_string(team_uses));
       since = now_;
     }
   }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -27,6 +27,8 @@
   settings_.objectives = {{core::ObjectiveKind::finished, "small", 0.9, 0, 30},
                           {core::ObjectiveKind::deadline, "due", 0.9, 1.0, 0},
                           {core::ObjectiveKind::wait, "fast", 0.9, 0, 5}};
+  if (options_.services > 0)
+    settings_.objectives.push_back({core::ObjectiveKind::up, "standing", 0.95, 0, 20});
   settings_.controllers = 3;
   settings_.zones = {"a", "b", "c"};
   settings_.report_s = 1;
@@ -38,6 +40,7 @@
   settings_.state_write_rps = kWritesPerS;
   settings_.value_kb = static_cast<double>(state_->limits.value_bytes) / 1024.0;
   settings_.txn_ops = static_cast<int>(state_->limits.txn_ops);
+  settings_.stored_value_kb = settings_.value_kb;
   if (options_.limits_drop_at) {  // announced from the start; when, nobody is told
     const StateLimits& next = options_.limits_after;
     settings_.state_write_rps = std::min(kWritesPerS, next.writes_per_s);
@@ -53,6 +56,7 @@
     n->zone = zones[i];
     nodes_.push_back(std::move(n));
   }
+  for (auto& n : nodes_) n->upgraded = options_.upgrade_from == 0;
   for (std::size_t i = 0; i < 3; ++i) start_node(i);
   for (int i = 0; i < options_.machines; ++i) add_machine(kZones[i % 3], false, 1, "");
   const std::function<void()> beat = [this] {
@@ -91,6 +95,7 @@
 
 Result World::run() {
   const Ms end = options_.busy_ms + options_.calm_ms;
+  if (options_.upgrade_from) plan_upgrade();
   for (Ms t = 500; t < options_.busy_ms;
        t += options_.job_every_ms / 2 + random(options_.job_every_ms))
     at(t, [this] { new_job(); });
@@ -98,7 +103,10 @@
   for (Ms t = 1000; t < end; t += 1000) at(t, [this] { probe_health(); });
   for (Ms t = options_.busy_ms + 1000; t < end; t += 1000) at(t, [this] { check_waiting(); });
   if (options_.limits_drop_at)
-    at(options_.limits_drop_at, [this] { state_->set_limits(now_, options_.limits_after); });
+    at(options_.limits_drop_at, [this] {
+      state_->set_limits(now_, options_.limits_after);
+      result_.oversized_at_drop = oversized_values();
+    });
   if (options_.services > 0)
     for (Ms t = options_.busy_ms + 1000; t < end; t += 1000) at(t, [this] { check_services(); });
   if (options_.cancel_all_at)
@@ -206,16 +214,49 @@
   }
 }
 
+void World::plan_upgrade() {
+  std::vector<std::size_t> order{0, 1, 2};
+  for (std::size_t k = order.size(); k > 1; --k)
+    std::swap(order[k - 1], order[static_cast<std::size_t>(random(static_cast<int>(k)))]);
+  services_from_ = options_.upgrade_from;
+  for (const std::size_t i : order) {
+    at(services_from_, [this, i] {
+      nodes_[i]->upgraded = true;
+      crash_node(i);  // one that is away comes back upgraded
+    });
+    if (i != order.back()) services_from_ += options_.upgrade_every;
+  }
+  at(services_from_, [this] { result_.oversized_at_upgrade = oversized_values(); });
+}
+
+int World::oversized_values() const {
+  return static_cast<int>(
+      std::count_if(state_->items.begin(), state_->items.end(), [this](const auto& entry) {
+        return entry.second.value.size() > options_.limits_after.value_bytes;
+      }));
+}
+
+// The production version knows the limits of today alone, and the first format of records.
+core::Settings World::settings_of(const Node& node) const {
+  core::Settings s = settings_;
+  s.name = node.name;
+  s.zone = node.zone;
+  for (const auto& other : nodes_)
+    if (other->name != node.name) s.peers.push_back({other->name, other->zone, ""});
+  if (node.upgraded) return s;
+  const StateLimits today;
+  s.record_format = wire::kFirstFormat;
+  s.state_write_rps = kWritesPerS;
+  s.value_kb = static_cast<double>(today.value_bytes) / 1024.0;
+  s.txn_ops = static_cast<int>(today.txn_ops);
+  return s;
+}
+
 void World::start_node(std::size_t i) {
   Node& n = *nodes_[i];
   ++n.generation;
-  core::Settings s = settings_;
-  s.name = n.name;
-  s.zone = n.zone;
-  for (const auto& o : nodes_)
-    if (o->name != n.name) s.peers.push_back({o->name, o->zone, ""});
   const std::uint64_t seed = (static_cast<std::uint64_t>(random_()) << 32U) | random_();
-  n.controller = std::make_unique<core::Controller>(s, seed);
+  n.controller = std::make_unique<core::Controller>(settings_of(n), seed);
   n.controller->start(now_, now_ + 1'700'000'000'000);
   drain(i);
   tick_node(i, n.generation);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -97,6 +97,10 @@
   double services = 0;
   Ms services_calm_ms = 60'000;
   double replicas_end = 0;
+  // All controllers begin as the production version. Each is ended once and comes back with the new
+  // one, in an order drawn from the seed: the first at `upgrade_from`, each other that much later.
+  Ms upgrade_from = 0;  // 0: the new version from the start
+  Ms upgrade_every = 8000;
   // The limits of the state service from then on, without notice; 0: never.
   Ms limits_drop_at = 0;
   StateLimits limits_after{8, 2 * 1024, 28};
@@ -123,6 +127,9 @@
   bool large_gang_done = false;
   // Transactions that the state service refuses for their size, and for their rate.
   int over_limits = 0, throttled = 0;
+  // Values stored at the last turn of the upgrade that are too large for the lowered limits, and
+  // those when the limits drop.
+  int oversized_at_upgrade = 0, oversized_at_drop = 0;
   int largest_late = 0, largest_seen = 0;
   // Most that were served in a second: requests, and changes.
   int peak_requests = 0, peak_writes = 0;
@@ -168,6 +175,9 @@
   void trace(const std::string& text) const;
   void broke(const std::string& rule, const std::string& what);
 
+  core::Settings settings_of(const Node& node) const;
+  void plan_upgrade();
+  int oversized_values() const;
   void start_node(std::size_t i);
   void crash_node(std::size_t i, Ms away = 0);  // 0: about what it takes
   void keep_away(std::size_t i, Ms lasts);
@@ -223,8 +233,8 @@
   void check_refused(const UserJob& job, int status);
   void replica_begins(Worker& w, const wire::TaskId& task);
   void replica_ends(Worker& w, const wire::TaskId& task);
-  bool replica_has_room(const UserJob& job, const wire::TaskId& replica,
-                        const std::map<std::string, double>& used) const;
+  std::string room_for_replica(const UserJob& job, const wire::TaskId& replica,
+                               const std::map<std::string, double>& used) const;
   void check_services();
 
   void trouble();
