--- a/src/core/commands.cpp
+++ b/src/core/commands.cpp
@@ -13,7 +13,7 @@
   const auto* type = replica_.type(m.type);
   double cpus = type ? type->cpus : 1e9, gpus = type ? type->gpus : 1e9,
          memory = type ? type->memory_gb : 1e9;
-  bool clears = false;
+  bool clears = false, stopping = false;
   // What the worker lists.
   for (const auto& [task, seen] : m.tasks) {
     if (out.size() >= k::kCommandsPerMessage) break;
@@ -56,6 +56,7 @@
     }
     bool leaves = false;
     if (grace >= 0) {
+      stopping = true;
       // Saving goes on undisturbed unless it is of no use any more.
       if (seen.state != wire::TaskState::saving || grace == 0)
         out.push_back({wire::CommandKind::stop, task, seen.attempt, grace});
@@ -90,8 +91,11 @@
       }
       const auto& spec = job->record.spec;
       if (cpus + k::kAmountSlack < spec.cpus || gpus + k::kAmountSlack < spec.gpus ||
-          memory + k::kAmountSlack < spec.memory_gb)
+          memory + k::kAmountSlack < spec.memory_gb) {
+        if (!stopping && !spec.is_gang()) give_up_blocked_start(now, m, task, p->attempt);
         continue;  // waits for what is being stopped
+      }
+      m.blocked_since.erase(task);
       cpus -= spec.cpus;
       gpus -= spec.gpus;
       memory -= spec.memory_gb;
@@ -108,6 +112,20 @@
   return out;
 }
 
+// Guards against a start that waits for ever: two controllers may have filled the same machine at
+// the same time, and what runs there may be a service, which does not end. The task is placed anew
+// once the machine has shown that it does not have it.
+void Controller::give_up_blocked_start(Ms now, Machine& m, const wire::TaskId& task,
+                                       std::uint64_t attempt) {
+  auto [since, fresh] = m.blocked_since.try_emplace(task, now);
+  if (fresh || now - since->second < k::kBlockedStartMs) return;
+  log(LogLevel::info, "no room for " + wire::task_name(task.job, task.index) + " on " + m.id);
+  m.halts[task] = {attempt, 0.0};
+  m.blocked_since.erase(since);
+  m.candidate_known = false;
+  m.kick_again = true;
+}
+
 bool Controller::direct_needed(const Machine& m, const std::vector<wire::Command>& list) const {
   if (!m.touched || m.unreached_since != 0 || m.doubted) return true;
   if (std::any_of(list.begin(), list.end(),
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -199,6 +199,10 @@
 constexpr int kRetryAfterS = 1;
 constexpr int kRetryAfterOutageS = 2;
 
+// Milliseconds for which a recorded start may wait for room while nothing on its machine is being
+// stopped: reports of what ended come within one.
+constexpr std::int64_t kBlockedStartMs = 2500;
+
 // ---- services ----
 // Milliseconds that a booked replica counts as still running in predictions: it ends when its user
 // calls it off, so its machine counts as full for longer than any array runs.
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -89,6 +89,7 @@
     std::map<wire::TaskId, Seen> tasks;
     std::map<wire::TaskId, std::pair<std::uint64_t, double>> halts;  // attempt, grace
     std::map<wire::TaskId, std::uint64_t> unseen_starts;             // attempt -> its last token
+    std::map<wire::TaskId, Ms> blocked_since;  // starts that find no room although none is made
     std::vector<std::string> images;
     Ms no_room_until = 0;
     // From our records: whether the machine is recorded, and what is to become of it, including a
@@ -230,6 +231,7 @@
 
   // ---- commands.cpp ----
   std::vector<wire::Command> commands(Ms now, Machine& m);
+  void give_up_blocked_start(Ms now, Machine& m, const wire::TaskId& task, std::uint64_t attempt);
   bool direct_needed(const Machine& m, const std::vector<wire::Command>& commands) const;
   // The task is not to be on any machine: cancelled, being stopped, or of a gang that failed.
   bool unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -158,6 +158,7 @@
     m.tasks.clear();
     m.halts.clear();
     m.unseen_starts.clear();
+    m.blocked_since.clear();
     m.images.clear();
     // Guards against counting the former session's lease on: heard by a direct command alone, a new
     // session was taken for run out, and what had just started in it was started elsewhere.
--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -109,7 +109,8 @@
     std::string next = view;
     if (view.find("puffin-1") == std::string::npos)
       next = replaced(view, members, members + R"("puffin-1":"i1",)");
-    state_.transact(R"({"guards":[],"writes":[{"write":"view","v":)" + next +
+    state_.transact(now_,
+                    R"({"guards":[],"writes":[{"write":"view","v":)" + next +
                         R"(},{"write":"live/puffin-1","v":)" + live + "}]}",
                     [](int status, const std::string&) { EXPECT_EQ(status, 200); });
     run(300);
@@ -358,7 +359,8 @@
   part.machines["n-100033"].standing = wire::MachineStanding::sick;
   ASSERT_GT(encode(fleet).size(), 2048U);
   ASSERT_GT(encode(part).size(), 2048U);
-  state_.transact(R"({"guards":[],"writes":[{"write":"fleet/0","v":)" + encode(fleet) +
+  state_.transact(now_,
+                  R"({"guards":[],"writes":[{"write":"fleet/0","v":)" + encode(fleet) +
                       R"(},{"write":"part/puffin-0/0","v":)" + encode(part) + "}]}",
                   [](int status, const std::string&) { ASSERT_EQ(status, 200); });
   run(500);
