--- a/tests/services_test.cpp
+++ b/tests/services_test.cpp
@@ -383,5 +383,49 @@
   EXPECT_EQ(machine->session, 4U);
 }
 
+// More ranges than one transaction has conditions for: their job still ends, and all are removed.
+TEST_F(LoneController, AJobOfManyRangesEndsUnderLowLimits) {
+  Settings low = settings_;
+  low.value_kb = 2;
+  low.txn_ops = 8;
+  start_anew(low);
+  constexpr std::uint32_t kRanges = 45;
+  for (const bool cancelled : {false, true}) {
+    wire::JobRecord job;
+    ASSERT_EQ(wire::parse_job(job_body(cancelled ? "req-000002" : "req-000001"), job.spec), "");
+    job.spec.tasks = kRanges;
+    job.submitted_ms = now_;
+    std::string writes;
+    for (std::uint32_t number = 1; number <= kRanges; ++number) {
+      wire::RangeRecord range;
+      range.owner = "puffin-0";
+      range.begin = number - 1;
+      range.end = number;
+      range.done.assign(1, !cancelled);
+      writes += R"({"write":")" + wire::range_key(job.spec.id, number) + R"(","v":)" +
+                encode(range) + "},";
+    }
+    job.cancelled = cancelled;
+    writes += R"({"write":")" + wire::job_key(job.spec.id) + R"(","v":)" + encode(job) + "}";
+    // As an earlier version left it, under higher limits.
+    state_.revision++;
+    rapidjson::Document doc;
+    ASSERT_TRUE(wire::parse_object(R"({"writes":[)" + writes + "]}", doc));
+    for (const auto& write : doc["writes"].GetArray()) {
+      const std::string key = write["write"].GetString();
+      state_.items[key] = {wire::text_of(write["v"]), state_.revision, 0};
+      state_.change(key, state_.items[key].value);
+    }
+    run(5000);
+    EXPECT_TRUE(state_.items.contains(wire::over_key(job.spec.id))) << cancelled;
+    EXPECT_EQ(std::count_if(
+                  state_.items.begin(), state_.items.end(),
+                  [&](const auto& item) { return item.first.starts_with("range/" + job.spec.id); }),
+              0)
+        << cancelled;
+  }
+  EXPECT_EQ(state_.over_limits, 0);
+}
+
 }  // namespace
 }  // namespace puffinhaven::core
