Rename by the terms of the field: pause detection, preemption, coordinator, direct orders

No behaviour changes. wake.cpp becomes pause.cpp, room.cpp preemption.cpp; kick, make_room, woke, look, keeps and keeper become send_orders, preempt_for, on_pause, detect_pause, coordinates and coordinator.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -78,7 +78,7 @@
 // The timer is set only when the core wants to look at the time earlier than it would.
 void Service::arm() {
   const core::Ms now = steady_ms();
-  const core::Ms at = std::clamp(controller_.next_look(now), now + 1, now + options_.tick_ms);
+  const core::Ms at = std::clamp(controller_.next_tick(now), now + 1, now + options_.tick_ms);
   if (look_at_ != 0 && look_at_ <= at + core::constants::kTimerSlackMs) return;
   look_at_ = at;
   timer_.expires_after(std::chrono::milliseconds(at - now));
--- a/src/core/cloud.cpp
+++ b/src/core/cloud.cpp
@@ -26,10 +26,10 @@
 }
 
 void Controller::keep_cloud(Ms now) {
-  if (!can_write(now) || !keeps_cloud()) {
+  if (!can_write(now) || !coordinates_cloud()) {
     listed_.clear();
     listed_at_ = 0;
-    if (!keeps_cloud()) {
+    if (!coordinates_cloud()) {
       // Somebody else's now; what was under way fails by its view.
       fleet_pending_.clear();
       hires_settled_.clear();
@@ -76,10 +76,10 @@
 
 void Controller::read_list(Ms now, std::string after) {
   call(Target::cloud, "", "GET", wire::machine_list_path(after, k::kListPage), "",
-       k::kCloudTimeoutMs, [this, wakes = wakes_](Ms at, const Outcome& outcome) {
+       k::kCloudTimeoutMs, [this, pauses = pauses_](Ms at, const Outcome& outcome) {
          bool more = false;
          // A list that came while we stood still is as old as that, on top of its own lag.
-         if (outcome.status != 200 || wakes != wakes_ ||
+         if (outcome.status != 200 || pauses != pauses_ ||
              !wire::parse_machine_list(outcome.body, listing_, more)) {
            list_busy_ = false;
            list_at_ = at + k::kListEveryMs;
@@ -95,7 +95,7 @@
          for (auto& m : listing_) listed_[m.id] = std::move(m);
          listing_.clear();
          listed_at_ = at;
-         if (can_write(at) && keeps_cloud()) on_list(at);
+         if (can_write(at) && coordinates_cloud()) on_list(at);
        });
   (void)now;
 }
@@ -245,7 +245,7 @@
 
 void Controller::finish_hire(Ms now, const wire::RentRequest& request,
                              const std::vector<std::string>& ids) {
-  if (!keeps_cloud()) return;
+  if (!coordinates_cloud()) return;
   for (const auto& id : ids) {
     if (replica_.machine(id) || fleet_pending_.contains(id)) continue;  // listed already
     wire::MachineRecord record;
--- a/src/core/commands.cpp
+++ b/src/core/commands.cpp
@@ -84,11 +84,7 @@
       const wire::TaskId task{ref.range.job, ref.index};
       auto seen = m.tasks.find(task);
       if (seen != m.tasks.end() && seen->second.attempt == p->attempt) continue;
-      auto w = work_.find(ref.range);
-      if (w != work_.end()) {
-        auto f = w->second.freed.find(ref.index);
-        if (f != w->second.freed.end() && f->second.attempt == p->attempt) continue;
-      }
+      if (freed(ref, p->attempt)) continue;
       const auto& spec = job->record.spec;
       if (cpus + k::kAmountSlack < spec.cpus || gpus + k::kAmountSlack < spec.gpus ||
           memory + k::kAmountSlack < spec.memory_gb) {
@@ -123,7 +119,7 @@
   m.halts[task] = {attempt, 0.0};
   m.blocked_since.erase(since);
   m.candidate_known = false;
-  m.kick_again = true;
+  m.send_again = true;
 }
 
 bool Controller::direct_needed(const Machine& m, const std::vector<wire::Command>& list) const {
@@ -134,32 +130,33 @@
   return absence_open(m);
 }
 
-void Controller::kick(Ms now, Machine& m, bool probe) {
-  if (!ready() || m.address.empty() || m.session == 0 || superseded(now) || waking(now)) return;
+void Controller::send_orders(Ms now, Machine& m, bool probe) {
+  if (!ready() || m.address.empty() || m.session == 0 || superseded(now) || catching_up(now))
+    return;
   if (m.orders_in_flight) {
-    m.kick_again = true;
+    m.send_again = true;
     return;
   }
   if (now < m.orders_after) return;
   const auto list = commands(now, m);
-  m.kick_again = false;
+  m.send_again = false;
   if (!probe && !direct_needed(m, list)) return;
   // Bounded, or a cut would take all sockets; those that do not answer must not be in the way.
   const bool doubtful = m.orders_failed > 0 || now - m.heard_at > silent_after();
   int& out = doubtful ? probes_out_ : orders_out_;
   if (out >= (doubtful ? k::kProbesInFlight : k::kOrdersInFlight)) {
-    m.kick_again = true;
+    m.send_again = true;
     return;
   }
   ++out;
   m.orders_in_flight = true;
-  m.kick_again = false;
+  m.send_again = false;
   call(Target::worker, m.address, "POST", wire::kOrdersPath,
        wire::orders_body(token(m), m.session, list), k::kOrdersTimeoutMs,
        [this, id = m.id, epoch = m.owner_since, asked = Counters(m.session, m.sequence), doubtful,
-        wakes = wakes_](Ms at, const Outcome& outcome) {
+        pauses = pauses_](Ms at, const Outcome& outcome) {
          --(doubtful ? probes_out_ : orders_out_);
-         on_orders(at, id, epoch, asked, wakes == wakes_, outcome);
+         on_orders(at, id, epoch, asked, pauses == pauses_, outcome);
        });
 }
 
@@ -182,22 +179,22 @@
     if (!again) m.unreached_since = 0;
     m.orders_after = outcome.status == 200 ? now : now + k::kOrdersRetryMs / 4;
     // What was stopped may be gone, and what waits for its room can start.
-    m.kick_at = std::min(m.kick_at, now + k::kLookEveryMs);
+    m.send_check_at = std::min(m.send_check_at, now + k::kLookEveryMs);
   } else if (!current) {
     // We were not there to hear it. It may have been executed, or may still be.
     ++m.fence;
     m.candidate_known = false;
-    m.kick_again = true;
+    m.send_again = true;
     m.orders_after = now;
   } else {
     // May still be executed: everything sent from now on outruns it.
     out_of_reach(now, m);
     m.candidate_known = false;
-    m.kick_again = true;
+    m.send_again = true;
     m.orders_after = now + (k::kOrdersRetryMs << std::min(m.orders_failed, k::kOrdersRetryDoubles));
     ++m.orders_failed;
   }
-  if (m.kick_again) kick(now, m);
+  if (m.send_again) send_orders(now, m);
 }
 
 }  // namespace puffinhaven::core
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -47,7 +47,7 @@
 constexpr double kPressedS = 6.0;
 constexpr double kLittleLostS = 5.0;
 // Machines drawn to find the one where making room loses least.
-constexpr int kRoomSamples = 20;
+constexpr int kPreemptionSamples = 20;
 // Seconds from which on a job is old, whatever its aims, and the share of a part's CPUs that old
 // jobs have before all others.
 constexpr double kOldJobS = 180.0;
@@ -106,10 +106,10 @@
 // Milliseconds without any input or look at the time after which a controller takes itself for
 // having stood still: twenty looks of kIdleLookMs; a busy processor delays them by less than a
 // second.
-constexpr std::int64_t kStoodStillMs = 2000;
+constexpr std::int64_t kPauseMs = 2000;
 // Milliseconds after that within which the state service is to say what has changed meanwhile; then
 // it counts as out of reach, and the controller renews its workers' leases as in an outage.
-constexpr std::int64_t kWakeMs = 1500;
+constexpr std::int64_t kCatchUpMs = 1500;
 
 // ---- membership ----
 // Life of a controller's hold, milliseconds. Longer than a restart (about 3 s) so that a crash
@@ -241,7 +241,7 @@
 constexpr int kOrdersInFlight = 64;
 constexpr int kProbesInFlight = 8;
 // Milliseconds between looks whether a machine needs a direct message, if nothing calls for one.
-constexpr std::int64_t kKickEveryMs = 1000;
+constexpr std::int64_t kOrdersCheckEveryMs = 1000;
 // Milliseconds between looks at silent machines; a tenth of the shortest report interval known.
 constexpr std::int64_t kLookEveryMs = 100;
 // Milliseconds for which machines of a zone that is mostly silent are kept: it is cut off, most
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -33,12 +33,12 @@
 
 void Controller::start(Ms now, Ms wall) {
   wall_offset_ = wall - now;
-  looked_at_ = now;
+  last_input_at_ = now;
   store_.start(now);
 }
 
 void Controller::tick(Ms now, Ms wall) {
-  look(now);
+  detect_pause(now);
   wall_offset_ = wall - now;
   store_.tick(now);
   keep_membership(now);
@@ -53,13 +53,13 @@
   tell_peers(now);
 }
 
-Ms Controller::next_look(Ms now) const {
-  const Ms at = store_.next_look(now);
+Ms Controller::next_tick(Ms now) const {
+  const Ms at = store_.next_tick(now);
   return dirty_ ? std::min(at, std::max(schedule_after_, now)) : at;
 }
 
 void Controller::on_request(Ms now, std::uint64_t request, const Request& r) {
-  look(now);
+  detect_pause(now);
   const std::string path = r.path.substr(0, r.path.find('?'));
   const bool get = r.method == "GET", post = r.method == "POST";
   auto method_error = [&] { answer(request, 405, wire::error_body("method not allowed")); };
@@ -89,7 +89,7 @@
 }
 
 void Controller::on_outcome(Ms now, std::uint64_t id, const Outcome& outcome) {
-  look(now);
+  detect_pause(now);
   auto it = handlers_.find(id);
   if (it == handlers_.end()) return;
   OutcomeHandler done = std::move(it->second);
@@ -175,7 +175,7 @@
     m.candidate_known = false;
     refresh(m);
     reconcile(now, m);
-    kick(now, m);
+    send_orders(now, m);
   }
   bool cancelling = false;
   for (const auto& id : replica_.take_changed_jobs()) {
@@ -242,7 +242,8 @@
         own(now, id);
     }
   }
-  for (const auto& [id, job] : replica_.jobs()) check_finish_.insert(id);  // its keeper may be new
+  for (const auto& [id, job] : replica_.jobs())
+    check_finish_.insert(id);  // its coordinator may be new
   dirty_ = true;
 }
 
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -52,7 +52,7 @@
   void on_outcome(Ms now, std::uint64_t call, const Outcome& outcome);
   void on_peer(Ms now, std::string_view bytes);
   // When tick() should be called next, if nothing else happens.
-  Ms next_look(Ms now) const;
+  Ms next_tick(Ms now) const;
   Output take_output() { return std::exchange(out_, {}); }
 
   const Replica& replica() const { return replica_; }
@@ -106,9 +106,9 @@
     mutable Candidate candidate;
     mutable bool candidate_known = false;
     bool orders_in_flight = false;
-    bool kick_again = false;
+    bool send_again = false;
     Ms orders_after = 0;
-    Ms kick_at = 0;  // when to look whether it needs a direct message
+    Ms send_check_at = 0;  // when to look whether it needs a direct message
     int orders_failed = 0;
     double reserved_cpus = 0, reserved_gpus = 0, reserved_memory = 0;
   };
@@ -135,13 +135,13 @@
     Ms give_up = 0;
   };
 
-  // ---- wake.cpp ----
+  // ---- pause.cpp ----
   // Called with every input. Finds out whether this controller has stood still.
-  void look(Ms now);
-  void woke(Ms now, Ms gap);
+  void detect_pause(Ms now);
+  void on_pause(Ms now, Ms gap);
   void caught_up(Ms now, std::uint64_t wake);
   // Has stood still and has not yet heard from the state service what changed meanwhile.
-  bool waking(Ms now) const { return waking_until_ != 0 && now < waking_until_; }
+  bool catching_up(Ms now) const { return catching_up_until_ != 0 && now < catching_up_until_; }
 
   // ---- controller.cpp ----
   void call(Target target, std::string address, std::string method, std::string path,
@@ -161,8 +161,12 @@
   void set_deaf(bool deaf);
   void settle(Ms now, std::function<void(Ms)> done);
   wire::Guard view_guard() const { return store_.guard(std::string(wire::kViewKey)); }
-  bool can_write(Ms now) const { return ready() && store_.answering(now) && waking_until_ == 0; }
-  bool keeps(std::string_view duty) const { return membership_.keeper(duty) == settings_.name; }
+  bool can_write(Ms now) const {
+    return ready() && store_.answering(now) && catching_up_until_ == 0;
+  }
+  bool coordinates(std::string_view duty) const {
+    return membership_.coordinator(duty) == settings_.name;
+  }
   const Team* team(const std::string& name) const;
 
   struct Pass;  // pass.h
@@ -236,7 +240,7 @@
   // The task is not to be on any machine: cancelled, being stopped, or of a gang that failed.
   bool unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const;
   bool absence_open(const Machine& m) const;
-  void kick(Ms now, Machine& m, bool probe = false);
+  void send_orders(Ms now, Machine& m, bool probe = false);
   // Session and sequence of a machine, by which messages are ordered.
   using Counters = std::pair<std::uint64_t, std::uint64_t>;
   void on_orders(Ms now, const std::string& id, std::uint64_t epoch, Counters asked, bool current,
@@ -320,10 +324,10 @@
   std::vector<int> hold_gang(Pass& pass, const wire::JobSpec& spec, bool foreign,
                              const std::string& only);
 
-  // ---- room.cpp ----
+  // ---- preemption.cpp ----
   // `zones`: where the machine may be; none: anywhere.
-  int make_room(Pass& pass, const wire::JobSpec& spec, bool pressed,
-                const std::set<std::string>* zones);
+  int preempt_for(Pass& pass, const wire::JobSpec& spec, bool pressed,
+                  const std::set<std::string>* zones);
 
   // ---- ranges.cpp ----
   std::size_t placed_most(std::uint32_t tasks) const;
@@ -366,7 +370,7 @@
   void set_standing(const std::string& id, wire::MachineRecord record,
                     wire::MachineStanding standing);
   void finish_hire(Ms now, const wire::RentRequest& request, const std::vector<std::string>& ids);
-  bool keeps_cloud() const { return keeps("cloud"); }
+  bool coordinates_cloud() const { return coordinates("cloud"); }
   std::vector<Demand> demand() const;
 
   // ---- peers.cpp ----
@@ -391,9 +395,9 @@
   bool format_busy_ = false;
   std::map<std::string, Usage> service_reserve_;  // by team; see service_reserve()
 
-  Ms looked_at_ = 0;     // last input
-  Ms waking_until_ = 0;  // 0: not waking
-  std::uint64_t wakes_ = 0;
+  Ms last_input_at_ = 0;      // last input
+  Ms catching_up_until_ = 0;  // 0: not catching up after a pause
+  std::uint64_t pauses_ = 0;
   bool joining_ = false;
   bool acknowledging_ = false;
   bool removing_ = false;
@@ -429,7 +433,7 @@
   std::map<std::string, wire::CloudMachine> listed_;
   Ms listed_at_ = 0;
   std::set<std::string> hires_busy_;
-  // Changes of the fleet's records, as its keeper: machines (none: to be forgotten) and rental
+  // Changes of the fleet's records, as its coordinator: machines (none: to be forgotten) and rental
   // requests that are settled. One transaction at a time carries what there is.
   std::map<std::string, std::optional<wire::MachineRecord>> fleet_pending_;
   std::map<std::string, std::set<std::string>> hires_settled_;  // with the machines they brought
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -2,14 +2,11 @@
 #include <algorithm>
 #include <cmath>
 
-#include "core/constants.h"
 #include "core/controller.h"
 #include "core/pass.h"
 
 namespace puffinhaven::core {
 
-namespace k = constants;
-
 void Controller::place_gang(Pass& pass, const RangeId& id, const Job& job,
                             const wire::RangeRecord& range, bool begun) {
   const auto& spec = job.record.spec;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -28,7 +28,7 @@
           over->done ? over->tasks : 0, 0);
     return;
   }
-  if (!ready() || !store_.answering(now) || waking_until_ != 0) {
+  if (!ready() || !store_.answering(now) || catching_up_until_ != 0) {
     decline(request, k::kRetryAfterOutageS);
     return;
   }
@@ -84,7 +84,7 @@
 }
 
 void Controller::on_health(Ms now, std::uint64_t request) {
-  bool healthy = ready() && !superseded(now) && !waking(now);
+  bool healthy = ready() && !superseded(now) && !catching_up(now);
   if (healthy && !store_.answering(now)) {
     // An outage that all share is no reason to send users elsewhere; being cut off or refused alone
     // is. A peer's word tells them apart. Without any: a state service that refuses us is there, so
@@ -371,7 +371,7 @@
       health_.forget_job(id);
       continue;
     }
-    if (!keeps(wire::job_key(id))) {
+    if (!coordinates(wire::job_key(id))) {
       // Looked at again when the view changes; cheap enough to keep.
       if (membership_.live().empty()) again.insert(id);
       continue;
--- a/src/core/machine_records.cpp
+++ b/src/core/machine_records.cpp
@@ -1,6 +1,7 @@
 // Records of machines. Many machines share a record and each record has one writer, so that a wave
-// of machines coming or going costs a few writes and no conflicts: the fleet's keeper writes which
-// machines there are, each controller what it heard from those of its part and decided on them.
+// of machines coming or going costs a few writes and no conflicts: the fleet's coordinator writes
+// which machines there are, each controller what it heard from those of its part and decided on
+// them.
 #include <algorithm>
 
 #include "core/constants.h"
@@ -32,7 +33,7 @@
 void Controller::note_machine(Ms now, Machine& m, wire::MachineStanding standing, Ms within) {
   const auto group = replica_.group_of(m.id);
   m.standing = std::max(m.standing, standing);
-  if (!group) return;  // the fleet's keeper records it first; then we are asked again
+  if (!group) return;  // the fleet's coordinator records it first; then we are asked again
   PartWrite& w = part_writes_[*group];
   const wire::PartRecord::Heard heard{m.address, m.session, m.standing, m.owner_since};
   auto [at, fresh] = w.pending.try_emplace(m.id, heard);
@@ -165,7 +166,7 @@
   }
 }
 
-// As the fleet's keeper: writes what is pending, new machines into groups that have room.
+// As the fleet's coordinator: writes what is pending, new machines into groups that have room.
 std::size_t Controller::machines_per_group() const {
   return static_cast<std::size_t>(
       std::max(1.0, value_bytes() / static_cast<double>(k::kBytesPerMachine)));
--- a/src/core/wake.cpp
+++ b/src/core/pause.cpp
@@ -11,17 +11,17 @@
 
 namespace k = constants;
 
-void Controller::look(Ms now) {
-  const Ms gap = now - looked_at_;
-  looked_at_ = std::max(looked_at_, now);
-  if (gap > k::kStoodStillMs && store_.loaded()) woke(now, gap);
+void Controller::detect_pause(Ms now) {
+  const Ms gap = now - last_input_at_;
+  last_input_at_ = std::max(last_input_at_, now);
+  if (gap > k::kPauseMs && store_.loaded()) on_pause(now, gap);
 }
 
-void Controller::woke(Ms now, Ms gap) {
+void Controller::on_pause(Ms now, Ms gap) {
   log(LogLevel::info, "stood still for " + std::to_string(gap) + " ms");
-  ++wakes_;
-  waking_until_ = now + k::kWakeMs;
-  store_.woke(now);
+  ++pauses_;
+  catching_up_until_ = now + k::kCatchUpMs;
+  store_.on_pause(now);
   hold_missing_since_.clear();
   peers_.clear();
   hearing_at_ = std::max(hearing_at_, now + silent_after());
@@ -38,18 +38,18 @@
   for (auto& [id, since] : unlisted_since_) since += gap;
   for (auto& [id, since] : gone_since_) since += gap;
   surplus_since_ = 0;
-  caught_up(now, wakes_);
+  caught_up(now, pauses_);
 }
 
 // Everything written while we were away is known once a read asked for after it has been passed.
 void Controller::caught_up(Ms now, std::uint64_t wake) {
   store_.barrier(now, 0, [this, wake](Ms at, bool ok) {
-    if (wake != wakes_) return;
+    if (wake != pauses_) return;
     if (!ok) {
       caught_up(at, wake);
       return;
     }
-    waking_until_ = 0;
+    catching_up_until_ = 0;
     dirty_ = true;
   });
 }
--- a/src/core/peers.cpp
+++ b/src/core/peers.cpp
@@ -15,7 +15,7 @@
   hint.from = settings_.name;
   hint.incarnation = incarnation_;
   hint.epoch = std::max(membership_.epoch(), newest_epoch_);
-  hint.state_answers = store_.loaded() && store_.answering(now) && waking_until_ == 0;
+  hint.state_answers = store_.loaded() && store_.answering(now) && catching_up_until_ == 0;
   for (const auto& [id, m] : machines_) {
     if (usable(now, m)) hint.free_cpus += std::max(0.0, candidate(now, m).cpus);
   }
@@ -25,7 +25,7 @@
 }
 
 void Controller::on_peer(Ms now, std::string_view bytes) {
-  look(now);
+  detect_pause(now);
   wire::PeerHint hint;
   if (!decode(bytes, hint)) {
     log(LogLevel::info, "unreadable hint from a peer");
--- a/src/core/room.cpp
+++ b/src/core/preemption.cpp
@@ -13,8 +13,8 @@
 // Stops what may be stopped for this task on the machine where that loses least; returns the
 // machine, with its room counted as free, or -1. A few machines are drawn instead of searching all:
 // the cost must not grow with the fleet, and the least loss among some is nearly the least of all.
-int Controller::make_room(Pass& pass, const wire::JobSpec& spec, bool pressed,
-                          const std::set<std::string>* zones) {
+int Controller::preempt_for(Pass& pass, const wire::JobSpec& spec, bool pressed,
+                            const std::set<std::string>* zones) {
   const Ms now = pass.now;
   // A team that stays within its guarantee need not wait for what another runs beyond its own.
   auto within = [this, &pass](const std::string& name, const wire::JobSpec& more) {
@@ -50,7 +50,7 @@
   std::vector<Victim> best_victims;
   if (pass.own_machines == 0) return -1;
   std::uniform_int_distribution<std::size_t> draw(0, pass.own_machines - 1);
-  for (int look = 0; look < k::kRoomSamples; ++look) {
+  for (int look = 0; look < k::kPreemptionSamples; ++look) {
     const std::size_t i = draw(random_);
     const Candidate& c = *pass.pool[i];
     auto at = machines_.find(c.id);
@@ -113,7 +113,7 @@
   for (const Victim& v : best_victims) {
     m.halts[v.task] = {v.attempt, v.grace};
     // The room counts as free below, in the candidate as it stands.
-    m.kick_again = true;
+    m.send_again = true;
     c.cpus += v.spec->cpus;
     c.gpus += v.spec->gpus;
     c.memory_gb += v.spec->memory_gb;
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -407,7 +407,7 @@
     log(LogLevel::info, key + " does not fit the state service's limits yet");
     clear_placing(w);
     w.want_stop = stop;
-    w.retry_at = looked_at_ + k::kRejectedPauseMs;
+    w.retry_at = last_input_at_ + k::kRejectedPauseMs;
     return;
   }
   log(LogLevel::debug, "writing " + key + " stamp " + std::to_string(store_.version(key)) +
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -43,7 +43,7 @@
     answer(request, 400, wire::error_body("malformed report"));
     return;
   }
-  if (!store_.loaded() || !view_known_ || superseded(now) || waking(now)) {
+  if (!store_.loaded() || !view_known_ || superseded(now) || catching_up(now)) {
     decline(request, k::kRetryAfterS);
     return;
   }
@@ -81,7 +81,7 @@
   // machine has said so in answer to a message of our own. Until then it gets no commands.
   if (m.session != 0 && report.session > m.session && report.token >= m.token_seen) {
     m.doubted = true;
-    kick(now, m);
+    send_orders(now, m);
     m.lease_from = std::max(m.lease_from, now);
     answer(request, 200, wire::report_answer(token(m), {}));
     return;
@@ -101,7 +101,7 @@
     // Guards against late copies: they renew nothing and get no commands. A machine that came back
     // with low counters looks the same; its answer to a message of our own tells (on_orders).
     m.doubted = true;
-    kick(now, m);
+    send_orders(now, m);
     decline(request, k::kRetryAfterS);
     return;
   }
@@ -280,15 +280,14 @@
 }
 
 bool Controller::absence_open(const Machine& m) const {
-  for (const TaskRef& ref : replica_.placed_on(m.id)) {
+  const auto& placed = replica_.placed_on(m.id);
+  return std::any_of(placed.begin(), placed.end(), [&](const TaskRef& ref) {
     const auto* p = replica_.placement(ref);
-    if (!p || p->session < m.session || !unwanted(m, ref, *p)) continue;
-    if (!m.tasks.contains({ref.range.job, ref.index})) {
-      auto w = work_.find(ref.range);
-      if (w == work_.end() || !w->second.freed.contains(ref.index)) return true;
-    }
-  }
-  return false;
+    if (!p || p->session < m.session || !unwanted(m, ref, *p)) return false;
+    if (m.tasks.contains({ref.range.job, ref.index})) return false;
+    const auto work = work_.find(ref.range);
+    return work == work_.end() || !work->second.freed.contains(ref.index);
+  });
 }
 
 void Controller::free_task(const TaskRef& ref, std::uint64_t attempt, bool done) {
--- a/src/core/schedule.cpp
+++ b/src/core/schedule.cpp
@@ -452,7 +452,7 @@
     }
     // What can meet no aim any more waits for room instead of making others late.
     if (chosen < 0 && !urgency.hopeless)
-      chosen = make_room(pass, spec, pressed(pass.now, job), zoned ? &open : nullptr);
+      chosen = preempt_for(pass, spec, pressed(pass.now, job), zoned ? &open : nullptr);
     if (chosen < 0) {
       if (!urgency.begun) reserve(pass, spec, 1);
       if (!zoned) pass.failed.push_back(&spec);
--- a/src/core/services.cpp
+++ b/src/core/services.cpp
@@ -101,7 +101,7 @@
                                replica_candidates(pass, choice, true, without_replica), random_);
     if (machine >= 0) return machine;
   }
-  const int preempted = make_room(pass, spec, true, bound_to_zones ? &*choice.zones : nullptr);
+  const int preempted = preempt_for(pass, spec, true, bound_to_zones ? &*choice.zones : nullptr);
   if (preempted >= 0) return preempted;
   // Guards against a service whose zone has no machine of our part.
   add_foreign(pass);
@@ -152,7 +152,7 @@
 void Controller::move_replica(Machine& m, const wire::TaskId& task, std::uint64_t attempt) {
   m.halts[task] = {attempt, 0.0};
   m.candidate_known = false;
-  m.kick_again = true;
+  m.send_again = true;
 }
 
 }  // namespace puffinhaven::core
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -51,17 +51,17 @@
 void Store::call(Ms sent, std::string method, std::string path, std::string body,
                  OutcomeHandler done) {
   send_(Target::state, "", std::move(method), std::move(path), std::move(body), k::kStateTimeoutMs,
-        [this, sent, wakes = wakes_, done = std::move(done)](Ms now, const Outcome& outcome) {
+        [this, sent, pauses = pauses_, done = std::move(done)](Ms now, const Outcome& outcome) {
           // Guards against taking single answers that were lost for a service that is down: what
           // was asked later has been answered.
           const bool single = outcome.status == 0 && last_answer_ > sent;
-          if (!single) note(now, outcome, wakes == wakes_);
+          if (!single) note(now, outcome, pauses == pauses_);
           done(now, outcome);
         });
 }
 
-void Store::woke(Ms now) {
-  ++wakes_;
+void Store::on_pause(Ms now) {
+  ++pauses_;
   last_answer_ = last_refusal_ = 0;
   last_failure_ = std::max<Ms>(1, now - k::kProbeEveryMs - 1);  // asked at once
   hold_at_ = next_barrier_ = now;
@@ -200,12 +200,12 @@
   const std::uint64_t generation = ++watch_generation_;
   send_(Target::state, "", "GET", wire::watch_path(watched_, k::kWatchMs), "",
         k::kWatchMs + k::kWatchGraceMs,
-        [this, generation, wakes = wakes_](Ms at, const Outcome& outcome) {
-          on_watch(at, generation, wakes, outcome);
+        [this, generation, pauses = pauses_](Ms at, const Outcome& outcome) {
+          on_watch(at, generation, pauses, outcome);
         });
 }
 
-void Store::on_watch(Ms now, std::uint64_t generation, std::uint64_t wakes,
+void Store::on_watch(Ms now, std::uint64_t generation, std::uint64_t pauses,
                      const Outcome& outcome) {
   if (generation != watch_generation_) return;
   watching_ = false;
@@ -224,7 +224,7 @@
     watch_at_ = now + k::kProbeEveryMs;
     return;
   }
-  if (wakes == wakes_) last_answer_ = std::max(last_answer_, now);
+  if (pauses == pauses_) last_answer_ = std::max(last_answer_, now);
   for (const auto& e : events) apply(now, e);
   watched_ = std::max(watched_, revision);
   std::erase_if(removed_, [this](const auto& r) { return r.second <= watched_; });
@@ -256,10 +256,10 @@
   auto batch = std::make_shared<std::vector<Barrier>>(std::move(barriers_));
   barriers_.clear();
   call(now, "GET", wire::item_path(kBarrierKey), "",
-       [this, batch, wakes = wakes_](Ms at, const Outcome& outcome) {
+       [this, batch, pauses = pauses_](Ms at, const Outcome& outcome) {
          barrier_in_flight_ = false;
          std::uint64_t revision = 0;
-         if (wakes == wakes_ && outcome.status == 404 &&
+         if (pauses == pauses_ && outcome.status == 404 &&
              wire::parse_revision(outcome.body, revision)) {
            told(at, revision);
            for (auto& b : *batch) barrier_wait_.push_back({revision, std::move(b)});
@@ -333,7 +333,7 @@
   return queue_.empty() && in_flight_ < k::kTransactionsInFlight && tokens >= rate * k::kSpareShare;
 }
 
-Ms Store::next_look(Ms now) const {
+Ms Store::next_tick(Ms now) const {
   Ms at = now + k::kIdleLookMs;
   if (!queue_.empty() && in_flight_ < k::kTransactionsInFlight)
     at = std::min(at, std::max({next_transaction_, paused_until_, now + k::kBusyLookMs}));
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -44,10 +44,10 @@
   void start(Ms now);
   // Nobody looked at the time or at answers for a while. What was asked before says nothing about
   // now: the service counts as not answering until something asked from here on is answered.
-  void woke(Ms now);
+  void on_pause(Ms now);
   void tick(Ms now);
   // When tick() should be called next at the latest.
-  Ms next_look(Ms now) const;
+  Ms next_tick(Ms now) const;
   // True once every record has been read and the watch runs.
   bool loaded() const { return loaded_; }
   // True while the service answers.
@@ -90,7 +90,7 @@
 
   void load_next(Ms now);
   void open_watch(Ms now);
-  void on_watch(Ms now, std::uint64_t generation, std::uint64_t wakes, const Outcome& outcome);
+  void on_watch(Ms now, std::uint64_t generation, std::uint64_t pauses, const Outcome& outcome);
   void flush(Ms now);
   void send_group(Ms now, std::vector<Transaction> group);
   void on_group(Ms now, std::vector<Transaction> group, const Outcome& outcome);
@@ -157,7 +157,7 @@
   bool hold_in_flight_ = false;
   Ms hold_at_ = 0;
 
-  std::uint64_t wakes_ = 0;
+  std::uint64_t pauses_ = 0;
   Ms last_answer_ = 0;   // any real answer
   Ms last_failure_ = 0;  // 503 or none
   Ms last_refusal_ = 0;  // 503
--- a/src/core/watch.cpp
+++ b/src/core/watch.cpp
@@ -38,7 +38,7 @@
     const Job* job = replica_.job(task.job);
     if (!job || seen.state == wire::TaskState::exited || m.halts.contains(task)) continue;
     m.halts[task] = {seen.attempt, job->record.spec.save_s};
-    m.kick_again = true;
+    m.send_again = true;
   }
 }
 
@@ -66,12 +66,12 @@
     if (spec.checkpoint_s > 0 && left_s > spec.save_s + 2.0) continue;
     m.halts[task] = {seen.attempt, spec.checkpoint_s > 0 ? spec.save_s : 0.0};
     m.candidate_known = false;
-    m.kick_again = true;
+    m.send_again = true;
   }
 }
 
 void Controller::watch_machines(Ms now) {
-  if (!ready() || now < machines_at_ || waking(now)) return;
+  if (!ready() || now < machines_at_ || catching_up(now)) return;
   machines_at_ = now + k::kLookEveryMs;
   std::erase_if(machines_, [&](const auto& entry) {
     const Machine& m = entry.second;
@@ -146,10 +146,10 @@
     if (m.notice) heed_notice(now, m);
     const bool idle_probe =
         quiet > quiet_after() && now >= m.orders_after && !replica_.placed_on(id).empty();
-    // What calls for a direct message sets kick_again; the rest is looked at now and then.
-    if (m.kick_again || idle_probe || now >= m.kick_at) {
-      m.kick_at = now + k::kKickEveryMs;
-      kick(now, m, idle_probe);
+    // What calls for a direct message sets send_again; the rest is looked at now and then.
+    if (m.send_again || idle_probe || now >= m.send_check_at) {
+      m.send_check_at = now + k::kOrdersCheckEveryMs;
+      send_orders(now, m, idle_probe);
     }
   }
 }
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -54,7 +54,7 @@
 // job/ID            an accepted job that is not over, and how its tasks were first divided
 // range/ID/N        a range of a job's tasks: finished bitmap and placements; written when one of
 //                   them is first placed
-// fleet/G           the rented machines of group G; written by the fleet's keeper alone
+// fleet/G           the rented machines of group G; written by the fleet's coordinator alone
 // part/NAME/G       what controller NAME has heard from machines of group G, and decided on them
 // claim/NAME        stamped whenever another controller places tasks on machines of NAME's part
 // hire/NAME         a rental request that may be under way
--- a/tests/e2e_test.cpp
+++ b/tests/e2e_test.cpp
@@ -1,12 +1,12 @@
 // The real binary on loopback, against stand-ins for the state service, the cloud and a worker.
 #include <gtest/gtest.h>
-#include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <array>
 #include <asio.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 
