--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -288,10 +288,13 @@
 // Nominal boot times after which a machine that is not up counts as stuck, and seconds added.
 constexpr double kStuckBoots = 4.0;
 constexpr double kStuckBootS = 30.0;
+// Seconds that a machine of a type that the catalog doesn't name is taken to need to boot.
+constexpr double kUnknownBootS = 60.0;
 // Milliseconds between looks for machines to return.
 constexpr std::int64_t kReturnEveryMs = 500;
-// Milliseconds before an unanswered rental request is repeated.
-constexpr std::int64_t kHireRetryMs = 2000;
+// Milliseconds between looks for rental requests to send, and before an unanswered one is repeated.
+constexpr std::int64_t kRentalCheckEveryMs = 250;
+constexpr std::int64_t kRentalRetryMs = 2000;
 // Names in one request to return machines, and machines in one page of the list (PROTOCOL).
 constexpr std::size_t kReturnMost = 100;
 constexpr std::uint32_t kListPage = 500;
--- /dev/null
+++ b/src/core/context.h
@@ -0,0 +1,41 @@
+// What the components of one controller have in common: its settings, its replica of the records,
+// the state service, and the ways to send requests and to log. Components keep a reference to it;
+// it outlives them.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "core/membership.h"
+#include "core/replica.h"
+#include "core/store.h"
+#include "core/types.h"
+
+namespace puffinhaven::core {
+
+struct Context {
+  const Settings& settings;
+  const Replica& replica;
+  Store& store;
+  const Membership& membership;
+  // Name of this run of the program; no two runs of any controller share one.
+  const std::string& incarnation;
+  Store::Send call;
+  Store::Log log;
+  // Whether transactions may be submitted: in the view, caught up, and the state service answers.
+  std::function<bool(Ms now)> can_write;
+
+  // Condition that nothing has changed in the view since it was last read.
+  wire::Guard view_guard() const { return store.guard(std::string(wire::kViewKey)); }
+  // Whether this controller is the one that carries out the duty.
+  bool coordinates(std::string_view duty) const {
+    return membership.coordinator(duty) == settings.name;
+  }
+  // Bytes that a value may take, now and after an announced change of the limits.
+  double value_bytes() const { return settings.value_kb * 1024.0; }
+  // Whether services may be accepted: every controller reads their records.
+  bool services_enabled() const { return replica.format() >= wire::kServiceFormat; }
+};
+
+}  // namespace puffinhaven::core
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -1,6 +1,7 @@
 #include "core/controller.h"
 
 #include <algorithm>
+#include <array>
 #include <cinttypes>
 #include <cmath>
 #include <cstdio>
@@ -11,9 +12,20 @@
 
 namespace k = constants;
 
+namespace {
+
+std::string incarnation_name(std::uint64_t seed) {
+  std::array<char, 20> name{};
+  std::snprintf(name.data(), name.size(), "%016" PRIx64, seed);
+  return name.data();
+}
+
+}  // namespace
+
 Controller::Controller(Settings settings, std::uint64_t seed)
     : settings_(std::move(settings)),
       random_(seed),
+      incarnation_(incarnation_name(seed)),
       store_(
           settings_,
           [this](Target t, std::string a, std::string m, std::string p, std::string b, Ms timeout,
@@ -24,12 +36,20 @@
           [this](Ms now, const wire::StoredItem& item) { on_item(now, item); },
           [this](LogLevel level, std::string text) { log(level, std::move(text)); }),
       membership_(settings_),
-      fleet_(settings_),
-      format_switch_(settings_) {
-  char name[20];
-  std::snprintf(name, sizeof name, "%016" PRIx64, seed);
-  incarnation_ = name;
-}
+      context_{settings_,
+               replica_,
+               store_,
+               membership_,
+               incarnation_,
+               [this](Target target, std::string address, std::string method, std::string path,
+                      std::string body, Ms timeout, OutcomeHandler done) {
+                 call(target, std::move(address), std::move(method), std::move(path),
+                      std::move(body), timeout, std::move(done));
+               },
+               [this](LogLevel level, std::string text) { log(level, std::move(text)); },
+               [this](Ms now) { return can_write(now); }},
+      fleet_(context_),
+      format_switch_(settings_) {}
 
 void Controller::start(Ms now, Ms wall) {
   wall_offset_ = wall - now;
@@ -49,7 +69,7 @@
   if (now >= schedule_after_ + (dirty_ ? 0 : k::kIdlePassMs)) schedule(now);
   finish_jobs(now);
   keep_cancel_waits(now);
-  keep_cloud(now);
+  fleet_.tick(now);
   tell_peers(now);
 }
 
@@ -288,7 +308,7 @@
     t.writes = {{std::string(wire::kViewKey), encode(next), std::nullopt}};
     t.urgent = true;
     t.done = [this](Ms at, Committed, const auto&) {
-      settle(at, [this](Ms) { removing_ = false; });
+      store_.settle(at, [this](Ms) { removing_ = false; });
     };
     store_.submit(std::move(t));
     return;
@@ -321,7 +341,7 @@
       after_changes(at);
       return;
     }
-    settle(at, [this](Ms) { joining_ = false; });
+    store_.settle(at, [this](Ms) { joining_ = false; });
   };
   store_.submit(std::move(t));
 }
@@ -382,7 +402,7 @@
   t.writes = {{std::string(wire::kViewKey), encode(next), std::nullopt}};
   t.urgent = true;
   t.done = [this](Ms at, Committed, const auto&) {
-    settle(at, [this](Ms) { hearing_busy_ = false; });
+    store_.settle(at, [this](Ms) { hearing_busy_ = false; });
   };
   store_.submit(std::move(t));
 }
@@ -409,20 +429,9 @@
       acknowledging_ = false;
       return;
     }
-    settle(at, [this](Ms) { acknowledging_ = false; });
+    store_.settle(at, [this](Ms) { acknowledging_ = false; });
   };
   store_.submit(std::move(t));
 }
 
-// After a write that did not succeed: waits until the replica holds whatever was written instead.
-void Controller::settle(Ms now, std::function<void(Ms)> done) {
-  store_.barrier(now, 0, [this, done = std::move(done)](Ms at, bool ok) {
-    if (ok) {
-      done(at);
-      return;
-    }
-    settle(at, done);
-  });
-}
-
 }  // namespace puffinhaven::core
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -13,10 +13,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/fleet.h"
+#include "core/context.h"
+#include "core/fleet_coordinator.h"
 #include "core/format_switch.h"
 #include "core/health.h"
-#include "core/machine_groups.h"
 #include "core/membership.h"
 #include "core/order.h"
 #include "core/placement.h"
@@ -159,21 +159,18 @@
   // Gives up our machines when none of them reaches us, and takes them back when one can.
   void keep_hearing(Ms now);
   void set_deaf(bool deaf);
-  void settle(Ms now, std::function<void(Ms)> done);
-  wire::Guard view_guard() const { return store_.guard(std::string(wire::kViewKey)); }
+  wire::Guard view_guard() const { return context_.view_guard(); }
   bool can_write(Ms now) const {
     return ready() && store_.answering(now) && catching_up_until_ == 0;
   }
-  bool coordinates(std::string_view duty) const {
-    return membership_.coordinator(duty) == settings_.name;
-  }
+  bool coordinates(std::string_view duty) const { return context_.coordinates(duty); }
   const Team* team(const std::string& name) const;
 
   struct Pass;  // pass.h
 
   // ---- services.cpp ----
   // Whether services may be accepted: every controller reads their records.
-  bool services_enabled() const { return replica_.format() >= wire::kServiceFormat; }
+  bool services_enabled() const { return context_.services_enabled(); }
   // Records the format that all controllers support, once they do.
   void keep_format(Ms now);
   // Replicas of our services that are on no machine, in amounts of their team's limit. They are
@@ -275,11 +272,7 @@
   bool has_strays(const wire::PartRecord& record, std::uint32_t group) const;
   // Writes such entries into our records of the groups that their machines are in.
   void move_strays(std::uint32_t group, const wire::PartRecord& record);
-  std::size_t machines_per_group() const;
-  // As the fleet's coordinator: cuts a group over the limit. True when a write is under way.
-  bool split_large_group();
-  void write_fleet(Ms now);
-  double value_bytes() const { return settings_.value_kb * 1024.0; }
+  double value_bytes() const { return context_.value_bytes(); }
   // What a value written by the former version may take; ours may too until all are new.
   double stored_value_bytes() const {
     const double now = services_enabled() ? 0.0 : settings_.stored_value_kb * 1024.0;
@@ -357,22 +350,6 @@
   void need_quota(const wire::JobSpec& spec, std::uint32_t tasks);
   void keep_quotas(Ms now);
 
-  // ---- cloud.cpp ----
-  void keep_cloud(Ms now);
-  void read_catalog(Ms now);
-  void read_list(Ms now, std::string after);
-  void on_list(Ms now);
-  void size_fleet(Ms now);
-  void repeat_hires(Ms now);
-  void return_machines(Ms now);
-  void return_now(Ms now, std::vector<std::string> ids);
-  // Asks for a change of the fleet's records; the next write carries it.
-  void set_standing(const std::string& id, wire::MachineRecord record,
-                    wire::MachineStanding standing);
-  void finish_hire(Ms now, const wire::RentRequest& request, const std::vector<std::string>& ids);
-  bool coordinates_cloud() const { return coordinates("cloud"); }
-  std::vector<Demand> demand() const;
-
   // ---- peers.cpp ----
   void tell_peers(Ms now);
   // A newer view exists that we cannot read: whoever it names gives the commands now.
@@ -389,8 +366,9 @@
   Replica replica_;
   Store store_;
   Membership membership_;
+  Context context_;
   Health health_;
-  Fleet fleet_;
+  FleetCoordinator fleet_;
   FormatSwitch format_switch_;
   bool format_busy_ = false;
   std::map<std::string, Usage> service_reserve_;  // by team; see service_reserve()
@@ -427,23 +405,6 @@
   std::map<std::string, Ms> quota_stuck_since_;  // with a grant too small for all that waits
   Ms quota_after_ = 0;
 
-  Ms catalog_at_ = 0, list_at_ = 0, size_at_ = 0, return_at_ = 0, hires_at_ = 0;
-  bool catalog_busy_ = false, list_busy_ = false, return_busy_ = false;
-  std::vector<wire::CloudMachine> listing_;
-  std::map<std::string, wire::CloudMachine> listed_;
-  Ms listed_at_ = 0;
-  std::set<std::string> hires_busy_;
-  // Changes of the fleet's records, as its coordinator: machines (none: to be forgotten) and rental
-  // requests that are settled. One transaction at a time carries what there is.
-  std::map<std::string, std::optional<wire::MachineRecord>> fleet_pending_;
-  std::map<std::string, std::set<std::string>> hires_settled_;  // with the machines they brought
-  bool fleet_busy_ = false;
-  int hires_out_ = 0;  // rental requests being recorded
-  std::map<std::string, Ms> gone_since_;
-  std::map<std::string, Ms> unlisted_since_;
-  std::uint64_t hire_number_ = 0;
-  Ms surplus_since_ = 0;
-
   struct PeerState {
     Ms heard_at = 0;
     bool state_answers = false;
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -11,6 +12,10 @@
 
 namespace puffinhaven::core {
 
+// The duty of the fleet's coordinator. Its name decides which controller that is, so that the
+// production version and this one must hash the same one.
+constexpr std::string_view kFleetDuty = "cloud";
+
 struct MachineKind {
   std::string type, zone;
   bool spot = false;
--- /dev/null
+++ b/src/core/fleet_coordinator.cpp
@@ -0,0 +1,286 @@
+#include "core/fleet_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/constants.h"
+#include "wire/messages.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+using wire::MachineStanding;
+
+FleetCoordinator::FleetCoordinator(const Context& context)
+    : context_(context),
+      fleet_(context.settings),
+      records_(context,
+               [this](const std::vector<std::string>& forgotten) { rentals_.forget(forgotten); }),
+      list_(context, [this](Ms now) { on_list(now); }),
+      rentals_(
+          context, fleet_,
+          [this](Ms now, const wire::RentRequest& request,
+                 const std::vector<std::string>& machines) { on_rented(now, request, machines); }) {
+}
+
+void FleetCoordinator::tick(Ms now) {
+  if (!coordinates()) {
+    // Somebody else's now; what was under way fails by its view.
+    list_.clear();
+    records_.clear();
+    rentals_.clear();
+    unlisted_since_.clear();
+    return;
+  }
+  if (!context_.can_write(now)) {
+    list_.clear();
+    return;
+  }
+  if (!reading_catalog_ && now >= catalog_at_) read_catalog(now);
+  list_.tick(now);
+  if (now >= resize_at_) resize(now);
+  rentals_.tick(now);
+  if (!returning_ && now >= return_at_) return_unwanted(now);
+  records_.write(now);
+}
+
+void FleetCoordinator::on_pause(Ms now, Ms gap) {
+  // What the list has not shown for a while gets that time again.
+  list_.on_pause(now);
+  for (auto& [id, since] : unlisted_since_) since += gap;
+  for (auto& [id, since] : gone_since_) since += gap;
+  surplus_since_ = 0;
+}
+
+std::vector<Demand> FleetCoordinator::demand() const {
+  std::vector<Demand> out;
+  for (const auto& [id, job] : context_.replica.jobs()) {
+    if (!job.known || job.record.cancelled) continue;
+    const std::uint64_t done = job.done_tasks();
+    if (done < job.record.spec.tasks)
+      out.push_back({&job.record.spec, job.record.spec.tasks - done});
+  }
+  return out;
+}
+
+// Machines that are usable or on their way.
+std::map<MachineKind, int> FleetCoordinator::held() const {
+  std::map<MachineKind, int> held;
+  for (const auto& [id, record] : context_.replica.machines()) {
+    if (record.standing == MachineStanding::ready) ++held[{record.type, record.zone, record.spot}];
+  }
+  for (const auto& [name, rental] : context_.replica.rentals())
+    held[{rental.type, rental.zone, rental.spot}] += static_cast<int>(rental.count);
+  return held;
+}
+
+// ---- the catalog ----
+
+void FleetCoordinator::read_catalog(Ms now) {
+  reading_catalog_ = true;
+  catalog_at_ = now + k::kCatalogEveryMs;
+  context_.call(Target::cloud, "", "GET", wire::kCatalogPath, "", k::kCloudTimeoutMs,
+                [this](Ms at, const Outcome& outcome) { on_catalog(at, outcome); });
+}
+
+void FleetCoordinator::on_catalog(Ms now, const Outcome& outcome) {
+  reading_catalog_ = false;
+  std::vector<wire::MachineType> types;
+  if (outcome.status != 200 || !wire::parse_catalog(outcome.body, types) || types.empty()) {
+    catalog_at_ = now + k::kSizeEveryMs;
+    return;
+  }
+  const Replica& replica = context_.replica;
+  const std::string body = wire::catalog_body(types);
+  if (replica.has_catalog() && body == wire::catalog_body(replica.catalog())) return;
+  const std::string key(wire::kCatalogKey);
+  Transaction transaction;
+  transaction.guards = {context_.view_guard(), context_.store.guard(key)};
+  transaction.writes = {{key, body, std::nullopt}};
+  transaction.done = [this](Ms at, Committed result, const auto&) {
+    if (result != Committed::yes) catalog_at_ = at + k::kSizeEveryMs;
+  };
+  context_.store.submit(std::move(transaction));
+}
+
+// ---- the list of machines ----
+
+void FleetCoordinator::on_list(Ms now) {
+  if (!context_.can_write(now) || !coordinates()) return;
+  std::vector<std::string> unknown_failed;
+  for (const auto& [id, listed] : list_.machines()) {
+    if (check_listed(id, listed)) unknown_failed.push_back(id);
+  }
+  if (!unknown_failed.empty()) return_machines(std::move(unknown_failed));
+  check_unlisted(now);
+}
+
+bool FleetCoordinator::check_listed(const std::string& id, const wire::CloudMachine& listed) {
+  const bool failed = listed.state == wire::CloudState::failed;
+  const wire::MachineRecord* record = context_.replica.machine(id);
+  if (!record) {
+    if (gone_since_.contains(id) || records_.pending(id)) return false;  // an old list
+    if (failed) return true;
+    // Not rented by any request we remember, or not yet recorded: ours to use or to return.
+    context_.log(LogLevel::info, "adopting machine " + id);
+    wire::MachineRecord fresh;
+    fresh.address = listed.address;
+    fresh.type = listed.type;
+    fresh.zone = listed.zone;
+    fresh.spot = listed.spot;
+    records_.set_standing(id, fresh, MachineStanding::ready);
+    return false;
+  }
+  if (record->standing == MachineStanding::gone || record->standing == MachineStanding::lost)
+    return false;
+  if (failed) {
+    context_.log(LogLevel::info, "machine " + id + " has failed");
+    records_.set_standing(id, *record, MachineStanding::gone);
+    return true;
+  }
+  const wire::MachineType* type = context_.replica.type(listed.type);
+  const double boot_s = type ? type->boot_s : k::kUnknownBootS;
+  if (listed.state == wire::CloudState::booting && record->session == 0 &&
+      listed.held_s > k::kStuckBoots * boot_s + k::kStuckBootS) {
+    context_.log(LogLevel::info, "machine " + id + " does not come up");
+    records_.set_standing(id, *record, MachineStanding::lost);
+  }
+  return false;
+}
+
+// Machines that are recorded and not listed although they have had time to appear.
+void FleetCoordinator::check_unlisted(Ms now) {
+  const Replica& replica = context_.replica;
+  const Ms patience = static_cast<Ms>(context_.settings.list_lag_s * 3000.0) + k::kGoneKeptMs;
+  std::erase_if(gone_since_, [&](const auto& gone) {
+    return !replica.machine(gone.first) && now - gone.second > 2 * patience;
+  });
+  std::erase_if(unlisted_since_,
+                [this](const auto& unlisted) { return list_.contains(unlisted.first); });
+  const auto overdue = [&](const std::string& id) {
+    return now - unlisted_since_.emplace(id, now).first->second > patience;
+  };
+  for (const auto& [id, record] : replica.machines()) {
+    if (list_.contains(id) || record.standing != MachineStanding::ready) continue;
+    if (overdue(id) && record.session == 0) {  // never heard
+      context_.log(LogLevel::info, "machine " + id + " is not listed");
+      records_.set_standing(id, record, MachineStanding::lost);
+    }
+  }
+  // Placements on a machine that is neither recorded nor listed: it is returned, which proves them
+  // gone. Guards against tasks that nobody could ever free.
+  for (const auto& id : replica.unrecorded()) {
+    if (list_.contains(id) || records_.pending(id)) continue;
+    if (overdue(id)) records_.set_standing(id, {}, MachineStanding::lost);
+  }
+}
+
+// ---- size ----
+
+void FleetCoordinator::resize(Ms now) {
+  resize_at_ = now + k::kSizeEveryMs;
+  if (!context_.replica.has_catalog() || !list_.known()) return;
+  const auto machines = held();
+  const auto work = demand();
+  if (rentals_.idle()) rent(now, work, machines);
+  shrink(now, work, machines);
+}
+
+void FleetCoordinator::rent(Ms now, const std::vector<Demand>& work,
+                            const std::map<MachineKind, int>& held) {
+  for (auto& request : fleet_.to_rent(now, work, context_.replica.catalog(), held))
+    rentals_.request(std::move(request));
+}
+
+// Too many machines for long: one empty machine at a time is drained and then returned.
+void FleetCoordinator::shrink(Ms now, const std::vector<Demand>& work,
+                              const std::map<MachineKind, int>& held) {
+  const auto surplus = fleet_.surplus(work, context_.replica.catalog(), held);
+  const bool any = std::any_of(surplus.begin(), surplus.end(),
+                               [](const auto& of_type) { return of_type.second > 0; });
+  if (!any) {
+    surplus_since_ = 0;
+    return;
+  }
+  if (surplus_since_ == 0) surplus_since_ = now;
+  if (now - surplus_since_ < k::kShrinkAfterMs) return;
+  for (const auto& [id, record] : context_.replica.machines()) {
+    const auto of_type = surplus.find(record.type);
+    if (of_type == surplus.end() || of_type->second <= 0) continue;
+    const bool usable = record.session != 0 && record.standing == MachineStanding::ready;
+    if (!usable || !context_.replica.placed_on(id).empty()) continue;
+    context_.log(LogLevel::info, "returning idle machine " + id);
+    records_.set_standing(id, record, MachineStanding::draining);
+    break;
+  }
+}
+
+void FleetCoordinator::on_rented(Ms now, const wire::RentRequest& request,
+                                 const std::vector<std::string>& machines) {
+  for (const auto& id : machines) {
+    if (context_.replica.machine(id) || records_.pending(id)) continue;  // listed already
+    wire::MachineRecord record;
+    record.type = request.type;
+    record.zone = request.zone;
+    record.spot = request.spot;
+    records_.set_standing(id, record, MachineStanding::ready);
+  }
+  records_.settle_rental(request.name, {machines.begin(), machines.end()});
+  records_.write(now);
+}
+
+// ---- returning machines ----
+
+void FleetCoordinator::return_unwanted(Ms now) {
+  return_at_ = now + k::kReturnEveryMs;
+  std::vector<std::string> ids;
+  for (const auto& [id, record] : context_.replica.machines()) {
+    if (records_.pending(id)) continue;
+    const bool empty = context_.replica.placed_on(id).empty();
+    switch (record.standing) {
+      case MachineStanding::lost:
+        ids.push_back(id);
+        break;
+      case MachineStanding::draining:
+      case MachineStanding::sick:
+        if (empty) ids.push_back(id);
+        break;
+      case MachineStanding::gone: {
+        const Ms since = gone_since_.emplace(id, now).first->second;
+        const Ms kept = k::kGoneKeptMs + static_cast<Ms>(context_.settings.list_lag_s * 3000.0);
+        if (empty && now - since >= kept && !list_.contains(id)) records_.forget(id);
+        break;
+      }
+      case MachineStanding::ready:
+        break;
+    }
+  }
+  if (!ids.empty()) return_machines(std::move(ids));
+}
+
+void FleetCoordinator::return_machines(std::vector<std::string> ids) {
+  if (ids.size() > k::kReturnMost) ids.resize(k::kReturnMost);
+  returning_ = true;
+  const std::string body = wire::return_body(ids);
+  context_.call(Target::cloud, "", "POST", wire::kReturnPath, body, k::kCloudTimeoutMs,
+                [this, ids = std::move(ids)](Ms at, const Outcome& outcome) {
+                  on_returned(at, ids, outcome);
+                });
+}
+
+void FleetCoordinator::on_returned(Ms now, const std::vector<std::string>& ids,
+                                   const Outcome& outcome) {
+  returning_ = false;
+  return_at_ = now + k::kReturnEveryMs;
+  if (outcome.status != 200) return;
+  // The cloud's word: the machines and all on them are gone.
+  for (const auto& id : ids) {
+    gone_since_[id] = now;
+    unlisted_since_.erase(id);
+    const wire::MachineRecord* record = context_.replica.machine(id);
+    if (record && record->standing != MachineStanding::gone && context_.can_write(now))
+      records_.set_standing(id, *record, MachineStanding::gone);
+  }
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/fleet_coordinator.h
@@ -0,0 +1,68 @@
+// The coordinator of the fleet: which machines there are to be. One controller of the view does
+// this, the one that the duty is hashed to.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+#include "core/fleet.h"
+#include "core/fleet_record_writer.h"
+#include "core/machine_list.h"
+#include "core/rentals.h"
+#include "core/types.h"
+#include "wire/store.h"
+
+namespace puffinhaven::core {
+
+// Rents what the unfinished work needs, adopts machines that nobody expected, and returns those
+// that are lost, sick, drained or not needed.
+class FleetCoordinator {
+ public:
+  explicit FleetCoordinator(const Context& context);
+
+  void tick(Ms now);
+  // This controller stood still for `gap`.
+  void on_pause(Ms now, Ms gap);
+
+ private:
+  bool coordinates() const { return context_.coordinates(kFleetDuty); }
+  std::vector<Demand> demand() const;
+  std::map<MachineKind, int> held() const;
+
+  void read_catalog(Ms now);
+  void on_catalog(Ms now, const Outcome& outcome);
+
+  void on_list(Ms now);
+  // A machine of the list. True when it is to be returned although it is not recorded as lost.
+  bool check_listed(const std::string& id, const wire::CloudMachine& listed);
+  void check_unlisted(Ms now);
+
+  void resize(Ms now);
+  void rent(Ms now, const std::vector<Demand>& work, const std::map<MachineKind, int>& held);
+  void shrink(Ms now, const std::vector<Demand>& work, const std::map<MachineKind, int>& held);
+  void on_rented(Ms now, const wire::RentRequest& request,
+                 const std::vector<std::string>& machines);
+
+  void return_unwanted(Ms now);
+  void return_machines(std::vector<std::string> ids);
+  void on_returned(Ms now, const std::vector<std::string>& ids, const Outcome& outcome);
+
+  const Context& context_;
+  Fleet fleet_;
+  FleetRecordWriter records_;
+  MachineList list_;
+  Rentals rentals_;
+
+  bool reading_catalog_ = false;
+  Ms catalog_at_ = 0;
+  Ms resize_at_ = 0;
+  Ms surplus_since_ = 0;  // 0: no more machines than wanted
+  bool returning_ = false;
+  Ms return_at_ = 0;
+  std::map<std::string, Ms> gone_since_;      // machines that the cloud has taken back
+  std::map<std::string, Ms> unlisted_since_;  // recorded machines that the list lacks
+};
+
+}  // namespace puffinhaven::core
--- a/src/core/grants.cpp
+++ b/src/core/grants.cpp
@@ -111,7 +111,7 @@
       // Guards against a grant that shrinks late while we fill it: after a write without an answer
       // nothing is placed from the grant until the record has been written again.
       const bool open = result == Committed::unknown || (result == Committed::refused && uncertain);
-      settle(at, [this, name, open](Ms) {
+      store_.settle(at, [this, name, open](Ms) {
         if (open) {
           quota_uncertain_.insert(name);
         } else {
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -430,7 +430,7 @@
       check_finish_.insert(id);
       return;
     }
-    settle(at, [this, id](Ms) {
+    store_.settle(at, [this, id](Ms) {
       finishing_.erase(id);
       check_finish_.insert(id);
     });
--- /dev/null
+++ b/src/core/machine_list.h
@@ -0,0 +1,47 @@
+// The cloud's list of machines, read page by page again and again.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+#include "core/types.h"
+#include "wire/messages.h"
+
+namespace puffinhaven::core {
+
+// The list lags behind, and one may be older than the one before (PROTOCOL): what it lacks may
+// exist, and what it names may be gone.
+class MachineList {
+ public:
+  // `complete` is called after each whole list.
+  MachineList(const Context& context, std::function<void(Ms now)> complete);
+
+  void tick(Ms now);
+  // Forgets the list: this controller doesn't coordinate the fleet, or can't write.
+  void clear();
+  // This controller stood still: a list that was asked for before is as old as that, on top of its
+  // own lag, and is asked for anew.
+  void on_pause(Ms now);
+  // Whether a whole list has come since it was last forgotten.
+  bool known() const { return listed_at_ != 0; }
+  bool contains(const std::string& id) const { return machines_.contains(id); }
+  const std::map<std::string, wire::CloudMachine>& machines() const { return machines_; }
+
+ private:
+  void read_page(Ms now, const std::string& after);
+  void on_page(Ms now, std::uint64_t generation, const Outcome& outcome);
+
+  const Context& context_;
+  std::function<void(Ms)> complete_;
+  bool busy_ = false;
+  Ms next_at_ = 0;
+  std::uint64_t generation_ = 0;  // of what was asked for; counts the pauses
+  std::vector<wire::CloudMachine> pages_;
+  std::map<std::string, wire::CloudMachine> machines_;
+  Ms listed_at_ = 0;
+};
+
+}  // namespace puffinhaven::core
--- a/src/core/machine_records.cpp
+++ b/src/core/machine_records.cpp
@@ -1,7 +1,7 @@
-// Records of machines. Many machines share a record and each record has one writer, so that a wave
-// of machines coming or going costs a few writes and no conflicts: the fleet's coordinator writes
-// which machines there are, each controller what it heard from those of its part and decided on
-// them.
+// What this controller heard from the machines of its part and decided on them. Many machines share
+// a record and each record has one writer, so that a wave of machines coming or going costs a few
+// writes and no conflicts: the fleet's coordinator writes which machines there are
+// (fleet_record_writer.h), each controller its own part's state.
 #include <algorithm>
 
 #include "core/constants.h"
@@ -98,7 +98,7 @@
     for (const std::uint32_t target : groups) part_writes_[target].busy = false;
   };
   t.done = [this, release](Ms at, Committed result, const auto&) {
-    result == Committed::yes ? release(at) : settle(at, release);
+    result == Committed::yes ? release(at) : store_.settle(at, release);
   };
   store_.submit(std::move(t));
 }
@@ -156,7 +156,7 @@
         if (!written.pending.empty() && written.due == 0) written.due = at + k::kHeardWithinMs;
         return;
       }
-      settle(at, [this, group](Ms then) {
+      store_.settle(at, [this, group](Ms then) {
         PartWrite& again = part_writes_[group];
         again.busy = false;
         again.due = then + k::kRefusedRetryMs;
@@ -166,123 +166,4 @@
   }
 }
 
-// As the fleet's coordinator: writes what is pending, new machines into groups that have room.
-std::size_t Controller::machines_per_group() const {
-  return static_cast<std::size_t>(
-      std::max(1.0, value_bytes() / static_cast<double>(k::kBytesPerMachine)));
-}
-
-bool Controller::split_large_group() {
-  GroupLimits limits;
-  limits.machines = machines_per_group();
-  limits.value_bytes = static_cast<std::size_t>(value_bytes());
-  limits.records = static_cast<std::size_t>(settings_.txn_ops);
-  for (const auto& [group, record] : replica_.fleet()) {
-    const auto pieces = split_group(replica_.fleet(), group, limits);
-    if (!pieces) continue;
-    Transaction t;
-    t.guards = {view_guard()};
-    for (const auto& [target, piece] : *pieces) {
-      const std::string key = wire::fleet_key(target);
-      t.guards.push_back(store_.guard(key));
-      t.writes.push_back({key, encode(piece), std::nullopt});
-    }
-    log(LogLevel::info, "cutting machine group " + std::to_string(group) + " into " +
-                            std::to_string(pieces->size()));
-    fleet_busy_ = true;
-    auto release = [this](Ms) { fleet_busy_ = false; };
-    t.done = [this, release](Ms at, Committed result, const auto&) {
-      result == Committed::yes ? release(at) : settle(at, release);
-    };
-    store_.submit(std::move(t));
-    return true;
-  }
-  return false;
-}
-
-void Controller::write_fleet(Ms now) {
-  if (fleet_busy_ || !can_write(now)) return;
-  if (services_enabled() && split_large_group()) return;
-  if (fleet_pending_.empty() && hires_settled_.empty()) return;
-  const std::size_t most = machines_per_group();
-  std::map<std::uint32_t, wire::FleetRecord> next;
-  auto group_at = [&](std::uint32_t group) -> wire::FleetRecord& {
-    auto [it, fresh] = next.try_emplace(group);
-    if (fresh) {
-      if (auto old = replica_.fleet().find(group); old != replica_.fleet().end())
-        it->second = old->second;
-    }
-    return it->second;
-  };
-  std::uint32_t open = 0;  // groups before it are full
-  auto sent = std::make_shared<std::set<std::string>>();
-  for (const auto& [id, record] : fleet_pending_) {
-    auto group = replica_.group_of(id);
-    if (!group && !record) {
-      sent->insert(id);
-      continue;
-    }
-    if (!group) {
-      for (;; ++open) {
-        auto written = next.find(open);
-        auto old = replica_.fleet().find(open);
-        const std::size_t n = written != next.end()           ? written->second.machines.size()
-                              : old != replica_.fleet().end() ? old->second.machines.size()
-                                                              : 0;
-        if (n < most) break;
-      }
-      group = open;
-    }
-    if (!next.contains(*group) && next.size() >= k::kFleetGroupsAtOnce) continue;
-    wire::FleetRecord& g = group_at(*group);
-    if (record) {
-      g.machines[id] = *record;
-    } else {
-      g.machines.erase(id);
-    }
-    sent->insert(id);
-  }
-  Transaction t;
-  t.guards = {view_guard()};
-  for (const auto& [group, record] : next) {
-    const std::string key = wire::fleet_key(group);
-    t.guards.push_back(store_.guard(key));
-    t.writes.push_back({key, record.machines.empty() ? std::nullopt : std::optional(encode(record)),
-                        std::nullopt});
-  }
-  // A rental request is forgotten together with, or after, the writing down of all it brought.
-  auto over = std::make_shared<std::vector<std::string>>();
-  for (const auto& [name, brought] : hires_settled_) {
-    const bool all = std::all_of(brought.begin(), brought.end(), [&](const std::string& id) {
-      return sent->contains(id) || !fleet_pending_.contains(id);
-    });
-    const std::string key = std::string(wire::kHirePrefix) + name;
-    if (!all || static_cast<int>(t.writes.size()) >= settings_.txn_ops) continue;
-    over->push_back(name);
-    if (store_.version(key) == 0) continue;
-    t.guards.push_back(store_.guard(key));
-    t.writes.push_back({key, std::nullopt, std::nullopt});
-  }
-  auto settled = [this, sent, over](Ms) {
-    for (const auto& id : *sent) fleet_pending_.erase(id);
-    for (const auto& name : *over) {
-      hires_settled_.erase(name);
-      hires_busy_.erase(name);
-    }
-    fleet_busy_ = false;
-    hires_at_ = 0;
-  };
-  if (t.writes.empty()) {
-    settled(now);
-    return;
-  }
-  fleet_busy_ = true;
-  // Whatever was not written is found again: in the list, in the records, or by repeating the
-  // rental request under its name.
-  t.done = [this, settled](Ms at, Committed result, const auto&) {
-    result == Committed::yes ? settled(at) : settle(at, settled);
-  };
-  store_.submit(std::move(t));
-}
-
 }  // namespace puffinhaven::core
--- a/src/core/pause.cpp
+++ b/src/core/pause.cpp
@@ -31,13 +31,7 @@
     m.lease_known = false;
     if (m.unreached_since != 0) m.unreached_since = now;
   }
-  // The cloud's list is read anew; what it has not shown for a while it gets that time again for.
-  listed_.clear();
-  listed_at_ = 0;
-  list_at_ = now;
-  for (auto& [id, since] : unlisted_since_) since += gap;
-  for (auto& [id, since] : gone_since_) since += gap;
-  surplus_since_ = 0;
+  fleet_.on_pause(now, gap);
   caught_up(now, pauses_);
 }
 
--- a/src/core/ranges.cpp
+++ b/src/core/ranges.cpp
@@ -230,7 +230,7 @@
     if (result == Committed::yes) {
       release(at);
     } else {
-      settle(at, release);
+      store_.settle(at, release);
     }
   };
   store_.submit(std::move(t));
@@ -442,7 +442,7 @@
     work.retry_at = now + k::kRefusedRetryMs;
     return;
   }
-  settle(now, [this, id](Ms) {
+  store_.settle(now, [this, id](Ms) {
     auto again = work_.find(id);
     if (again != work_.end()) again->second.busy = false;
     dirty_ = true;
--- /dev/null
+++ b/src/core/rentals.cpp
@@ -0,0 +1,72 @@
+#include "core/rentals.h"
+
+#include <utility>
+
+#include "core/constants.h"
+#include "wire/messages.h"
+
+namespace puffinhaven::core {
+
+namespace k = constants;
+
+Rentals::Rentals(const Context& context, Fleet& fleet, Answered answered)
+    : context_(context), fleet_(fleet), answered_(std::move(answered)) {}
+
+void Rentals::request(wire::RentRequest request) {
+  // Never reused: no two runs of any controller share an incarnation.
+  request.name =
+      context_.settings.name + "-" + context_.incarnation + "-" + std::to_string(++last_number_);
+  context_.log(LogLevel::info, "renting " + std::to_string(request.count) + " " + request.type +
+                                   " in " + request.zone + (request.spot ? " (spot)" : ""));
+  const std::string key = wire::rental_key(request.name);
+  Transaction transaction;
+  transaction.guards = {context_.view_guard(), {key, 0}};
+  transaction.writes = {{key, encode(request), std::nullopt}};
+  ++being_recorded_;
+  transaction.done = [this](Ms now, Committed result, const auto&) {
+    send_at_ = 0;
+    const auto release = [this](Ms) { --being_recorded_; };
+    result == Committed::yes ? release(now) : context_.store.settle(now, release);
+  };
+  context_.store.submit(std::move(transaction));
+}
+
+void Rentals::tick(Ms now) {
+  if (now < send_at_) return;
+  send_at_ = now + k::kRentalCheckEveryMs;
+  for (const auto& [name, recorded] : context_.replica.rentals()) {
+    if (!under_way_.insert(name).second) continue;
+    wire::RentRequest request = recorded;
+    request.name = name;
+    send(request);
+  }
+}
+
+void Rentals::send(const wire::RentRequest& request) {
+  context_.call(
+      Target::cloud, "", "POST", wire::kRentPath, wire::rent_body(request), k::kCloudTimeoutMs,
+      [this, request](Ms now, const Outcome& outcome) { on_outcome(now, request, outcome); });
+}
+
+void Rentals::on_outcome(Ms now, const wire::RentRequest& request, const Outcome& outcome) {
+  std::vector<std::string> machines;
+  const bool rented = outcome.status == 200 && wire::parse_rented(outcome.body, machines);
+  const bool no_capacity =
+      outcome.status == 503 && outcome.body.find("capacity") != std::string::npos;
+  if (no_capacity || (rented && machines.size() < request.count))
+    fleet_.refused(now, {request.type, request.zone, request.spot});
+  if (!rented && !no_capacity && outcome.status != 400) {
+    // Unanswered or not now: the same name again, which rents nothing twice.
+    send_at_ = now + k::kRentalRetryMs;
+    under_way_.erase(request.name);
+    return;
+  }
+  if (context_.coordinates(kFleetDuty)) answered_(now, request, machines);
+}
+
+void Rentals::forget(const std::vector<std::string>& names) {
+  for (const auto& name : names) under_way_.erase(name);
+  send_at_ = 0;
+}
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/src/core/rentals.h
@@ -0,0 +1,51 @@
+// Requests to the cloud to rent machines.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/context.h"
+#include "core/fleet.h"
+#include "core/types.h"
+#include "wire/store.h"
+
+namespace puffinhaven::core {
+
+// Each request is recorded before it is sent, and repeated under its name until the cloud answers:
+// a repeat rents nothing twice, and a successor of this controller finds it. This guards against
+// machines that were rented and that nobody knows of.
+class Rentals {
+ public:
+  // `answered` is called with the machines that a request has brought.
+  using Answered = std::function<void(Ms now, const wire::RentRequest& request,
+                                      const std::vector<std::string>& machines)>;
+  Rentals(const Context& context, Fleet& fleet, Answered answered);
+
+  // Sends what is recorded and not under way.
+  void tick(Ms now);
+  // Records a request; it is sent once the replica shows it.
+  void request(wire::RentRequest request);
+  // No request is recorded or being recorded.
+  bool idle() const { return being_recorded_ == 0 && context_.replica.rentals().empty(); }
+  // The records of these requests have been removed.
+  void forget(const std::vector<std::string>& names);
+  // Another controller coordinates the fleet now.
+  void clear() { under_way_.clear(); }
+
+ private:
+  void send(const wire::RentRequest& request);
+  void on_outcome(Ms now, const wire::RentRequest& request, const Outcome& outcome);
+
+  const Context& context_;
+  Fleet& fleet_;
+  Answered answered_;
+  std::set<std::string> under_way_;  // sent, or answered and still recorded
+  int being_recorded_ = 0;
+  std::uint64_t last_number_ = 0;  // of the names given so far
+  Ms send_at_ = 0;
+};
+
+}  // namespace puffinhaven::core
--- a/src/core/replica.cpp
+++ b/src/core/replica.cpp
@@ -118,8 +118,8 @@
     view_changed_ = true;
     return store(live_, rest(key, wire::kLivePrefix), item.value);
   }
-  if (key.starts_with(wire::kHirePrefix))
-    return store(hires_, rest(key, wire::kHirePrefix), item.value);
+  if (key.starts_with(wire::kRentalPrefix))
+    return store(rentals_, rest(key, wire::kRentalPrefix), item.value);
   if (key.starts_with(wire::kQuotaPrefix))
     return store(quotas_, rest(key, wire::kQuotaPrefix), item.value);
   if (key == wire::kViewKey) {
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -54,7 +54,7 @@
   const wire::ViewRecord& view() const { return view_; }
   const std::map<std::string, wire::LiveRecord>& live() const { return live_; }
   const std::map<std::string, wire::MachineRecord>& machines() const { return machines_; }
-  const std::map<std::string, wire::RentRequest>& hires() const { return hires_; }
+  const std::map<std::string, wire::RentRequest>& rentals() const { return rentals_; }
   const std::map<std::string, wire::QuotaRecord>& quotas() const { return quotas_; }
   const std::vector<wire::MachineType>& catalog() const { return catalog_; }
   bool has_catalog() const { return has_catalog_; }
@@ -114,7 +114,7 @@
   std::unordered_map<std::string, std::map<PartId, wire::PartRecord::Heard>> heard_;
   std::map<std::string, wire::MachineRecord> machines_;        // merged from all these
   std::map<std::string, std::map<std::string, Usage>> usage_;  // team -> grant
-  std::map<std::string, wire::RentRequest> hires_;
+  std::map<std::string, wire::RentRequest> rentals_;
   std::map<std::string, wire::QuotaRecord> quotas_;
   std::vector<wire::MachineType> catalog_;
   bool has_catalog_ = false;
--- a/src/core/services.cpp
+++ b/src/core/services.cpp
@@ -23,7 +23,7 @@
                               std::to_string(replica_.format()) + "; services are accepted");
       return;
     }
-    settle(at, [this](Ms) { format_busy_ = false; });
+    store_.settle(at, [this](Ms) { format_busy_ = false; });
   };
   store_.submit(std::move(*transaction));
 }
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -14,7 +14,7 @@
 // Read at the start, in this order; final states stay out of recovery's way.
 const std::string_view kLoaded[] = {wire::kViewKey,      wire::kFormatKey,   wire::kCatalogKey,
                                     wire::kLivePrefix,   wire::kFleetPrefix, wire::kPartPrefix,
-                                    wire::kJobPrefixKey, wire::kRangePrefix, wire::kHirePrefix,
+                                    wire::kJobPrefixKey, wire::kRangePrefix, wire::kRentalPrefix,
                                     wire::kQuotaPrefix,  wire::kClaimPrefix};
 // Never written: asking for it tells the current revision.
 constexpr std::string_view kBarrierKey = "barrier";
@@ -244,6 +244,16 @@
   if (loaded_ && !barrier_in_flight_ && now >= next_barrier_) send_barrier(now);
 }
 
+void Store::settle(Ms now, std::function<void(Ms)> done) {
+  barrier(now, 0, [this, done = std::move(done)](Ms at, bool passed) {
+    if (passed) {
+      done(at);
+      return;
+    }
+    settle(at, done);
+  });
+}
+
 void Store::passed(Ms now, Ms give_up, std::function<void(Ms, bool)> done) {
   barrier_wait_.push_back({told_revision_, {give_up, std::move(done)}});
   release_barriers(now);
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -63,6 +63,9 @@
   void submit(Transaction transaction);
   // Calls back once the replica holds everything written before this call, or with false.
   void barrier(Ms now, Ms give_up, std::function<void(Ms now, bool ok)> done);
+  // After a write that did not succeed: calls back once the replica holds whatever was written
+  // instead, however long that takes.
+  void settle(Ms now, std::function<void(Ms now)> done);
   // Calls back once the replica holds everything written before the newest change that any answer
   // has named, our own last write among them; or with false.
   void passed(Ms now, Ms give_up, std::function<void(Ms now, bool ok)> done);
--- a/tests/upgrade_format_test.cpp
+++ b/tests/upgrade_format_test.cpp
@@ -573,7 +573,7 @@
     out += "\nmachine " + id + " session " + std::to_string(machine.session) + " tasks " +
            std::to_string(replica.placed_on(id).size());
   for (const auto& id : replica.unrecorded()) out += "\nunrecorded " + id;
-  for (const auto& [name, hire] : replica.hires()) out += "\nhire " + name + encode(hire);
+  for (const auto& [name, hire] : replica.rentals()) out += "\nhire " + name + encode(hire);
   for (const auto& [team, quota] : replica.quotas()) out += "\nquota " + team + encode(quota);
   for (const std::string team : {"vision", "speech", "ops", ""}) {
     const core::Usage usage = replica.usage(team);
