--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -281,10 +281,16 @@
 constexpr std::int64_t kRefusedPauseMs = 15'000;
 // Share of the demand held beyond it, so that a burst finds room while others boot.
 constexpr double kHeadroom = 0.5;
-// Whole machines held free beyond the demand.
+// Whole machines held free beyond the demand, if there is any.
 constexpr double kSpareMachines = 2.0;
 // Milliseconds for which the fleet must have been larger than wanted before one is returned.
 constexpr std::int64_t kShrinkAfterMs = 300'000;
+// The same while no job is unfinished: the pause between two submissions is shorter on any busy
+// day, and a machine is back within a boot.
+constexpr std::int64_t kShrinkIdleAfterMs = 30'000;
+// Part of an idle fleet's surplus that is returned at once (one machine at least), so that a large
+// fleet is mostly back within a minute and a submission in between still finds machines.
+constexpr int kIdleSurplusParts = 30;
 // Nominal boot times after which a machine that is not up counts as stuck, and seconds added.
 constexpr double kStuckBoots = 4.0;
 constexpr double kStuckBootS = 30.0;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -139,10 +139,11 @@
   std::map<std::string, double> want;
   for (const Need& need : needs(demand, catalog))
     if (need.zone.empty() && !need.ordinary_only) want[need.type] = need.machines;
+  // Nothing is held for what may come while nothing is to be done.
+  const double least = demand.empty() ? 0.0 : k::kSpareMachines;
   std::map<std::string, int> out;
   for (const auto& [kind, n] : held) out[kind.type] += n;
-  for (auto& [type, n] : out)
-    n -= static_cast<int>(std::ceil(std::max(want[type], k::kSpareMachines)));
+  for (auto& [type, n] : out) n -= static_cast<int>(std::ceil(std::max(want[type], least)));
   return out;
 }
 
--- a/src/core/fleet_coordinator.cpp
+++ b/src/core/fleet_coordinator.cpp
@@ -11,6 +11,19 @@
 namespace k = constants;
 using wire::MachineStanding;
 
+namespace {
+
+// Keeps the time since which a condition has held; 0 while it does not.
+void since(Ms& from, bool holds, Ms now) {
+  if (!holds) {
+    from = 0;
+  } else if (from == 0) {
+    from = now;
+  }
+}
+
+}  // namespace
+
 FleetCoordinator::FleetCoordinator(const Context& context)
     : context_(context),
       fleet_(context.settings),
@@ -30,6 +43,7 @@
     records_.clear();
     rentals_.clear();
     unlisted_since_.clear();
+    surplus_since_ = idle_since_ = 0;
     return;
   }
   if (!context_.can_write(now)) {
@@ -50,6 +64,7 @@
   for (auto& [id, since] : unlisted_since_) since += gap;
   for (auto& [id, since] : gone_since_) since += gap;
   surplus_since_ = 0;
+  idle_since_ = 0;
 }
 
 std::vector<Demand> FleetCoordinator::demand() const {
@@ -192,26 +207,34 @@
     rentals_.request(std::move(request));
 }
 
-// Too many machines for long: one empty machine at a time is drained and then returned.
+// Too many machines for long: one empty machine at a time is drained and then returned. With
+// nothing to do at all they go sooner, and more at a time.
 void FleetCoordinator::shrink(Ms now, const std::vector<Demand>& work,
                               const std::map<MachineKind, int>& held) {
   const auto surplus = fleet_.surplus(work, context_.replica.catalog(), held);
-  const bool any = std::any_of(surplus.begin(), surplus.end(),
-                               [](const auto& of_type) { return of_type.second > 0; });
-  if (!any) {
-    surplus_since_ = 0;
-    return;
+  int total = 0;
+  for (const auto& [type, count] : surplus) total += std::max(0, count);
+  since(surplus_since_, total > 0, now);
+  since(idle_since_, work.empty(), now);
+  if (total == 0) return;
+  if (idle_since_ != 0 && now - idle_since_ >= k::kShrinkIdleAfterMs) {
+    drain_empty(surplus, std::max(1, total / k::kIdleSurplusParts));
+  } else if (now - surplus_since_ >= k::kShrinkAfterMs) {
+    drain_empty(surplus, 1);
   }
-  if (surplus_since_ == 0) surplus_since_ = now;
-  if (now - surplus_since_ < k::kShrinkAfterMs) return;
+}
+
+void FleetCoordinator::drain_empty(std::map<std::string, int> surplus, int count) {
   for (const auto& [id, record] : context_.replica.machines()) {
+    if (count == 0) return;
     const auto of_type = surplus.find(record.type);
     if (of_type == surplus.end() || of_type->second <= 0) continue;
     const bool usable = record.session != 0 && record.standing == MachineStanding::ready;
     if (!usable || !context_.replica.placed_on(id).empty()) continue;
     context_.log(LogLevel::info, "returning idle machine " + id);
     records_.set_standing(id, record, MachineStanding::draining);
-    break;
+    --of_type->second;
+    --count;
   }
 }
 
--- a/src/core/fleet_coordinator.h
+++ b/src/core/fleet_coordinator.h
@@ -42,6 +42,8 @@
   void resize(Ms now);
   void rent(Ms now, const std::vector<Demand>& work, const std::map<MachineKind, int>& held);
   void shrink(Ms now, const std::vector<Demand>& work, const std::map<MachineKind, int>& held);
+  // Drains up to `count` empty machines of those types that there are too many of.
+  void drain_empty(std::map<std::string, int> surplus, int count);
   void on_rented(Ms now, const wire::RentRequest& request,
                  const std::vector<std::string>& machines);
 
@@ -59,6 +61,7 @@
   Ms catalog_at_ = 0;
   Ms resize_at_ = 0;
   Ms surplus_since_ = 0;  // 0: no more machines than wanted
+  Ms idle_since_ = 0;     // 0: some job is unfinished
   bool returning_ = false;
   Ms return_at_ = 0;
   std::map<std::string, Ms> gone_since_;      // machines that the cloud has taken back
--- /dev/null
+++ b/tests/component.h
@@ -0,0 +1,129 @@
+// A fixture for tests of one component without a whole controller: settings, records, the state
+// stand-in and a context. Calls to the cloud and to workers are kept for the test to answer.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/context.h"
+#include "sim/state_stand_in.h"
+#include "wire/store.h"
+
+namespace puffinhaven::core {
+
+class Component : public testing::Test {
+ protected:
+  // A call of the component that the test is to answer.
+  struct PendingCall {
+    Call call;
+    OutcomeHandler done;
+  };
+
+  static constexpr const char* kName = "puffin-0";
+  static constexpr Ms kStep = 20;
+
+  static Settings component_settings() {
+    Settings settings;
+    settings.name = kName;
+    settings.zone = "a";
+    settings.zones = {"a"};
+    settings.teams = {{"t", 0, 0, 0, 0}};
+    settings.report_s = 1;
+    settings.lease_s = 8;
+    settings.cancel_s = 20;
+    settings.state_rps = 400;
+    settings.state_write_rps = 150;
+    settings.value_kb = 8;
+    settings.txn_ops = 24;
+    settings.cloud_rps = 5;
+    settings.list_lag_s = 1;
+    return settings;
+  }
+
+  Component()
+      : settings_(component_settings()),
+        store_(
+            settings_,
+            [this](Target target, std::string address, std::string method, std::string path,
+                   std::string body, Ms timeout, OutcomeHandler done) {
+              send({0, target, std::move(address), std::move(method), std::move(path),
+                    std::move(body), timeout},
+                   std::move(done));
+            },
+            [this](Ms, const wire::StoredItem& item) { apply(item); },
+            [](LogLevel, const std::string&) {}),
+        membership_(settings_),
+        context_{settings_,
+                 replica_,
+                 store_,
+                 membership_,
+                 incarnation_,
+                 [this](Target target, std::string address, std::string method, std::string path,
+                        std::string body, Ms timeout, OutcomeHandler done) {
+                   send({0, target, std::move(address), std::move(method), std::move(path),
+                         std::move(body), timeout},
+                        std::move(done));
+                 },
+                 [](LogLevel, const std::string&) {},
+                 [this](Ms now) { return writable_ && store_.loaded() && store_.answering(now); }} {
+    wire::ViewRecord view;
+    view.epoch = 1;
+    view.live[kName] = incarnation_;
+    put(std::string(wire::kViewKey), encode(view));
+  }
+
+  // Changes a record behind the component's back.
+  void put(const std::string& key, const std::string& value) {
+    ++state_.revision;
+    state_.items[key] = {value, state_.revision, 0};
+    state_.change(key, value);
+  }
+
+  // Time passes; `tick` is called at each step.
+  void run(Ms lasts, const std::function<void(Ms)>& tick) {
+    if (!started_) store_.start(now_);
+    started_ = true;
+    for (const Ms end = now_ + lasts; now_ < end; now_ += kStep) {
+      store_.tick(now_);
+      state_.serve_watchers(now_, [](std::size_t) { return true; });
+      if (store_.loaded()) tick(now_);
+    }
+  }
+
+  Ms now_ = 1000;
+  bool writable_ = true;
+  Settings settings_;
+  std::string incarnation_ = "0000000000000007";
+  sim::StateStandIn state_;
+  Replica replica_;
+  Store store_;
+  Membership membership_;
+  Context context_;
+  std::vector<PendingCall> calls_;
+
+ private:
+  void send(Call call, OutcomeHandler done) {
+    if (call.target != Target::state) {
+      calls_.push_back({std::move(call), std::move(done)});
+      return;
+    }
+    state_.serve(now_, call, 0,
+                 [this, done = std::move(done)](int status, const std::string& body) {
+                   done(now_, {status, body});
+                 });
+  }
+
+  void apply(const wire::StoredItem& item) {
+    EXPECT_TRUE(replica_.apply(item)) << item.key;
+    if (item.key == wire::kViewKey) membership_.update(replica_.view());
+  }
+
+  bool started_ = false;
+};
+
+}  // namespace puffinhaven::core
--- /dev/null
+++ b/tests/fleet_coordinator_test.cpp
@@ -0,0 +1,240 @@
+// The coordinator of the fleet by itself: renting, adopting, shrinking and returning.
+#include "core/fleet_coordinator.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "component.h"
+#include "core/constants.h"
+#include "wire/json.h"
+
+namespace puffinhaven::core {
+namespace {
+
+namespace k = constants;
+using wire::MachineStanding;
+
+class FleetCoordinatorTest : public Component {
+ protected:
+  static constexpr const char* kCatalog =
+      R"({"fleets":[{"label":"g","cpus":4,"gpus":0,"memGb":16,"localGb":50,"fetchGbPerS":1,)"
+      R"("rate":1,"marketPrice":0.3,"readyS":3,"yards":["a"]}]})";
+
+  // Machines that are up and recorded as such, and listed by the cloud.
+  void have_machines(int count) {
+    constexpr int kPerGroup = 50;
+    for (int first = 0; first < count; first += kPerGroup)
+      have_group(first / kPerGroup, first, std::min(count, first + kPerGroup));
+  }
+
+  void have_group(int group, int first, int end) {
+    wire::FleetRecord fleet;
+    wire::PartRecord part;
+    for (int i = first; i < end; ++i) {
+      const std::string id = "n-" + std::to_string(1000 + i);
+      wire::MachineRecord record;
+      record.type = "g";
+      record.zone = "a";
+      record.address = id + ":1";
+      fleet.machines[id] = record;
+      part.machines[id] = {record.address, 1, MachineStanding::ready, 1};
+      listed_[id] = "running";
+    }
+    const auto number = static_cast<std::uint32_t>(group);
+    put(wire::fleet_key(number), encode(fleet));
+    put(wire::part_key(kName, number), encode(part));
+  }
+
+  // An array of one-machine tasks that run for ten minutes.
+  void have_job(std::uint32_t tasks) {
+    const std::string body =
+        R"({"id":"req-000001","queue":"c","crew":"t","shape":"batch","rank":"standard","loads":)" +
+        std::to_string(tasks) +
+        R"(,"cpus":4.0,"gpus":0.0,"memGb":4.0,"kit":"i","pullGb":0.1,"together":false,)"
+        R"("scatter":false,"standby":true,"haulS":600.0,"tipS":0.0,"stowS":0.0})";
+    wire::JobRecord job;
+    ASSERT_EQ(wire::parse_job(body, job.spec), "");
+    job.shares = {{0, 0, tasks, kName}};
+    put(wire::job_key(job.spec.id), encode(job));
+  }
+
+  void advance(Ms lasts) {
+    run(lasts, [this](Ms now) {
+      coordinator_.tick(now);
+      serve_cloud();
+    });
+  }
+
+  void serve_cloud() {
+    for (auto& pending : std::exchange(calls_, {})) {
+      ASSERT_EQ(pending.call.target, Target::cloud);
+      const Outcome outcome = answer(pending.call);
+      pending.done(now_, outcome);
+    }
+  }
+
+  Outcome answer(const Call& call) {
+    if (call.path == wire::kCatalogPath) return {200, kCatalog};
+    if (call.path == wire::kReturnPath) return take_back(call.body);
+    if (call.path == wire::kRentPath) {
+      rentals_.push_back(call.body);
+      return rental_answer_;
+    }
+    return {200, list_body()};
+  }
+
+  Outcome take_back(const std::string& body) {
+    rapidjson::Document document;
+    EXPECT_TRUE(wire::parse_object(body, document));
+    for (const auto& id : document["rigs"].GetArray()) {
+      returned_.insert(id.GetString());
+      listed_.erase(id.GetString());
+    }
+    return {200, "{}"};
+  }
+
+  std::string list_body() const {
+    std::string machines;
+    for (const auto& [id, status] : listed_) {
+      sim::Put machine;
+      machine.str("id", id);
+      machine.str("endpoint", id + ":1");
+      machine.str("fleet", "g");
+      machine.str("yard", "a");
+      machine.raw("standby", "false");
+      machine.str("status", status);
+      machine.raw("heldS", "9");
+      machines += (machines.empty() ? "" : ",") + machine.done();
+    }
+    return R"({"rigs":[)" + machines + R"(],"hasNext":false})";
+  }
+
+  FleetCoordinator coordinator_{context_};
+  std::map<std::string, std::string> listed_;  // machine -> status
+  std::set<std::string> returned_;
+  std::vector<std::string> rentals_;  // bodies of the requests
+  Outcome rental_answer_{503, R"({"error":"no capacity"})"};
+};
+
+// Guards against machines that are paid for all night: five with nothing to do were kept for five
+// minutes, and two of them for ever (docs/results.md, round 25).
+TEST_F(FleetCoordinatorTest, MachinesWithNothingToDoAreReturnedWithinAMinute) {
+  have_machines(5);
+  advance(k::kShrinkIdleAfterMs - 5000);
+  EXPECT_TRUE(returned_.empty());
+  advance(35'000);
+  EXPECT_EQ(returned_.size(), 5U);
+  advance(60'000);
+  EXPECT_TRUE(rentals_.empty());  // and none is rented again
+}
+
+TEST_F(FleetCoordinatorTest, AnIdleFleetOfHundredsIsReturnedWithinMinutes) {
+  have_machines(300);
+  advance(k::kShrinkIdleAfterMs + 60'000);
+  EXPECT_GT(returned_.size(), 200U);
+  advance(120'000);
+  EXPECT_EQ(returned_.size(), 300U);
+}
+
+// While there is work, more may come at any moment, and a machine takes a boot to come back.
+TEST_F(FleetCoordinatorTest, MachinesBeyondTheWorkAreKeptForMinutes) {
+  have_machines(8);
+  have_job(1);
+  advance(k::kShrinkAfterMs - 5000);
+  EXPECT_TRUE(returned_.empty());
+  advance(30'000);
+  EXPECT_FALSE(returned_.empty());
+}
+
+TEST_F(FleetCoordinatorTest, APauseBetweenTwoJobsReturnsNothing) {
+  have_machines(8);
+  have_job(1);
+  advance(120'000);
+  wire::JobRecord job;
+  ASSERT_TRUE(decode(state_.items[wire::job_key("req-000001")].value, job));
+  job.cancelled = true;
+  put(wire::job_key("req-000001"), encode(job));
+  advance(k::kShrinkIdleAfterMs - 2000);
+  job.cancelled = false;
+  put(wire::job_key("req-000001"), encode(job));
+  advance(60'000);
+  EXPECT_TRUE(returned_.empty());
+}
+
+// Guards against paying for machines that nobody knows of: the same name rents nothing twice.
+TEST_F(FleetCoordinatorTest, ARentalIsRepeatedUnderItsNameUntilItIsAnswered) {
+  rental_answer_ = {0, ""};
+  have_job(2);
+  advance(3000);
+  ASSERT_FALSE(rentals_.empty());
+  const std::string first = rentals_.front();
+  EXPECT_EQ(replica_.rentals().size(), 1U);
+  advance(10'000);
+  EXPECT_GE(rentals_.size(), 3U);
+  for (const std::string& body : rentals_) EXPECT_EQ(body, first);
+  rental_answer_ = {200, R"({"rigs":["n-900"]})"};
+  advance(10'000);
+  EXPECT_TRUE(replica_.machine("n-900"));
+  rapidjson::Document document;
+  ASSERT_TRUE(wire::parse_object(first, document));
+  EXPECT_FALSE(state_.items.contains(wire::rental_key(document["hire"].GetString())));
+}
+
+TEST_F(FleetCoordinatorTest, UnexpectedMachinesAreAdoptedAndFailedOnesReturned) {
+  listed_ = {{"n-700", "running"}, {"n-701", "failed"}};
+  advance(3000);
+  EXPECT_TRUE(replica_.machine("n-700"));
+  EXPECT_FALSE(replica_.machine("n-701"));
+  EXPECT_EQ(returned_, std::set<std::string>{"n-701"});
+}
+
+// A list that was asked for before a pause is as old as that: what it lacks may have come since.
+TEST_F(FleetCoordinatorTest, AListFromBeforeAPauseIsNotUsed) {
+  MachineList list(context_, [](Ms) {});
+  run(1000, [&](Ms now) { list.tick(now); });
+  ASSERT_EQ(calls_.size(), 1U);
+  list.on_pause(now_);
+  calls_[0].done(now_, {200, R"({"rigs":[],"hasNext":false})"});
+  EXPECT_FALSE(list.known());
+  run(k::kListEveryMs + 100, [&](Ms now) { list.tick(now); });
+  ASSERT_EQ(calls_.size(), 2U);
+  calls_[1].done(now_, {200, R"({"rigs":[],"hasNext":false})"});
+  EXPECT_TRUE(list.known());
+}
+
+// One transaction carries few groups; what does not fit follows.
+TEST_F(FleetCoordinatorTest, MachinesOfManyRentalsAreAllRecorded) {
+  settings_.value_kb = 1;
+  FleetRecordWriter writer(context_, [](const std::vector<std::string>&) {});
+  std::set<std::string> machines;
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "n-" + std::to_string(1000 + i);
+    wire::MachineRecord record;
+    record.type = "g";
+    record.zone = "a";
+    writer.set_standing(id, record, MachineStanding::ready);
+    machines.insert(id);
+  }
+  writer.settle_rental("r", machines);
+  put(wire::rental_key("r"), encode(wire::RentRequest{"", "g", "a", false, 50}));
+  run(10'000, [&](Ms now) {
+    // The request is not forgotten before all that it brought is recorded.
+    const bool all = std::all_of(machines.begin(), machines.end(),
+                                 [&](const std::string& id) { return replica_.machine(id); });
+    if (!all) {
+      EXPECT_TRUE(state_.items.contains(wire::rental_key("r")));
+    }
+    writer.write(now);
+  });
+  for (const auto& id : machines) EXPECT_TRUE(replica_.machine(id)) << id;
+  EXPECT_FALSE(state_.items.contains(wire::rental_key("r")));
+  EXPECT_EQ(state_.over_limits, 0);
+}
+
+}  // namespace
+}  // namespace puffinhaven::core
