--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "core/types.h"
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::core {
 
--- a/src/core/fleet_coordinator.h
+++ b/src/core/fleet_coordinator.h
@@ -12,7 +12,7 @@
 #include "core/machine_list.h"
 #include "core/rentals.h"
 #include "core/types.h"
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::core {
 
--- a/src/core/fleet_record_writer.h
+++ b/src/core/fleet_record_writer.h
@@ -12,7 +12,7 @@
 #include "core/context.h"
 #include "core/store.h"
 #include "core/types.h"
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::core {
 
--- a/src/core/machine_groups.h
+++ b/src/core/machine_groups.h
@@ -1,6 +1,6 @@
 // Cutting groups of machines whose records have grown over the state service's limit on values.
 //
-// Machines share records by groups (wire/store.h). A lowered limit leaves groups that can be read
+// Machines share records by groups (wire/records.h). A lowered limit leaves groups that can be read
 // but no longer written. A group is cut by one transaction, so that every machine is in just one
 // group at any moment; what controllers have recorded of its machines follows in transactions of
 // their own, and counts wherever it stands until then.
@@ -11,7 +11,7 @@
 #include <map>
 #include <optional>
 
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::core {
 
--- a/src/core/range_split.h
+++ b/src/core/range_split.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <vector>
 
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::core {
 
--- a/src/core/rentals.h
+++ b/src/core/rentals.h
@@ -10,7 +10,7 @@
 #include "core/context.h"
 #include "core/fleet.h"
 #include "core/types.h"
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::core {
 
--- a/src/core/replica.h
+++ b/src/core/replica.h
@@ -9,7 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "wire/store.h"
+#include "wire/records.h"
+#include "wire/state_service.h"
 
 namespace puffinhaven::core {
 
@@ -58,7 +59,7 @@
   const std::map<std::string, wire::QuotaRecord>& quotas() const { return quotas_; }
   const std::vector<wire::MachineType>& catalog() const { return catalog_; }
   bool has_catalog() const { return has_catalog_; }
-  // The format of records that all controllers read (wire/store.h).
+  // The format of records that all controllers read (wire/records.h).
   std::uint32_t format() const { return format_.format; }
   const std::unordered_map<std::string, Job>& jobs() const { return jobs_; }
 
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 #include "core/types.h"
-#include "wire/store.h"
+#include "wire/records.h"
+#include "wire/state_service.h"
 
 namespace puffinhaven::core {
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::core {
 
@@ -50,7 +50,7 @@
   int txn_ops = 0;
   // What a stored value may take today; the production version still writes that much.
   double stored_value_kb = 0;
-  // The newest format of records that this controller reads and writes (wire/store.h).
+  // The newest format of records that this controller reads and writes (wire/records.h).
   std::uint32_t record_format = wire::kServiceFormat;
   double cloud_rps = 0, list_lag_s = 0;
 };
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -39,6 +39,17 @@
 // Compact text of a JSON value.
 std::string text_of(const Json& value);
 
+// Text of an object whose members `fill(writer)` writes.
+template <typename Fill>
+std::string object(Fill&& fill) {
+  rapidjson::StringBuffer buffer;
+  Writer w(buffer);
+  w.StartObject();
+  fill(w);
+  w.EndObject();
+  return {buffer.GetString(), buffer.GetSize()};
+}
+
 // {"error": reason}
 std::string error_body(std::string_view reason);
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -66,16 +66,6 @@
   return read(o, field, out) && !out.empty() && out.size() <= kMaxNameLength;
 }
 
-template <typename F>
-std::string object(F&& fill) {
-  rapidjson::StringBuffer buffer;
-  Writer w(buffer);
-  w.StartObject();
-  fill(w);
-  w.EndObject();
-  return {buffer.GetString(), buffer.GetSize()};
-}
-
 void write_commands(Writer& w, const std::vector<Command>& commands) {
   w.Key("orders");
   w.StartArray();
--- a/src/wire/store.h
+++ b/src/wire/records.h
@@ -1,4 +1,5 @@
-// Messages of the state service, and the records that controllers keep in it.
+// The records that controllers keep in the state service, and their texts. Names of fields are a
+// format that other versions read: they stay as they are, and a field that is not known is ignored.
 #pragma once
 
 #include <cstdint>
@@ -10,59 +11,10 @@
 #include <vector>
 
 #include "wire/messages.h"
+#include "wire/record_keys.h"
 
 namespace puffinhaven::wire {
 
-// ---- the service's own messages ----
-
-struct Guard {
-  std::string key;
-  std::uint64_t version = 0;  // 0: must not exist
-};
-struct Write {
-  std::string key;
-  std::optional<std::string> value;     // JSON text; none: delete
-  std::optional<std::uint64_t> permit;  // the hold that the key is attached to
-};
-std::string transaction_body(const std::vector<Guard>& guards, const std::vector<Write>& writes);
-bool parse_revision(std::string_view body, std::uint64_t& revision);
-bool parse_conflict(std::string_view body, std::uint64_t& revision,
-                    std::vector<std::string>& failed);
-bool parse_permit(std::string_view body, std::uint64_t& permit);
-std::string hold_body(std::uint64_t life_ms);
-
-struct StoredItem {
-  std::string key;
-  std::optional<std::string> value;  // none: deleted
-  std::uint64_t version = 0;
-};
-bool parse_item(std::string_view body, StoredItem& out);
-bool parse_page(std::string_view body, std::vector<StoredItem>& out, bool& more,
-                std::uint64_t& revision);
-bool parse_events(std::string_view body, std::vector<StoredItem>& out, std::uint64_t& revision);
-
-std::string item_path(std::string_view key);
-std::string page_path(std::string_view prefix, std::string_view after, std::uint32_t most);
-std::string watch_path(std::uint64_t after, std::uint64_t wait_ms);
-constexpr const char* kTransactionPath = "/multi";
-constexpr const char* kHoldsPath = "/holds";
-std::string extend_path(std::uint64_t permit);
-
-// ---- records of puffinhaven ----
-// view              the live controllers and the epoch
-// live/NAME         a controller's hold, with its incarnation and the epoch that it acts on
-// job/ID            an accepted job that is not over, and how its tasks were first divided
-// range/ID/N        a range of a job's tasks: finished bitmap and placements; written when one of
-//                   them is first placed
-// fleet/G           the rented machines of group G; written by the fleet's coordinator alone
-// part/NAME/G       what controller NAME has heard from machines of group G, and decided on them
-// claim/NAME        stamped whenever another controller places tasks on machines of NAME's part
-// hire/NAME         a rental request that may be under way
-// quota/TEAM        grants of a team's limit to controllers
-// catalog           the machine types as last heard from the cloud
-// formats           the format of records that all controllers read; written once all announce it
-// over/ID           final state of a job, kept for ever
-
 struct ViewRecord {
   std::uint64_t epoch = 0;
   std::map<std::string, std::string> live;      // name -> incarnation
@@ -186,28 +138,4 @@
 std::string encode(const OverRecord& r);
 bool decode(std::string_view text, OverRecord& r);
 
-constexpr std::string_view kViewKey = "view";
-constexpr std::string_view kCatalogKey = "catalog";
-constexpr std::string_view kFormatKey = "formats";
-constexpr std::string_view kLivePrefix = "live/";
-constexpr std::string_view kJobPrefixKey = "job/";
-constexpr std::string_view kRangePrefix = "range/";
-constexpr std::string_view kFleetPrefix = "fleet/";
-constexpr std::string_view kPartPrefix = "part/";
-constexpr std::string_view kClaimPrefix = "claim/";
-constexpr std::string_view kRentalPrefix = "hire/";
-constexpr std::string_view kQuotaPrefix = "quota/";
-constexpr std::string_view kOverPrefix = "over/";
-
-std::string job_key(std::string_view id);
-std::string over_key(std::string_view id);
-std::string range_key(std::string_view job, std::uint32_t number);
-bool parse_range_key(std::string_view key, std::string& job, std::uint32_t& number);
-std::string rental_key(std::string_view name);
-std::string fleet_key(std::uint32_t group);
-bool parse_fleet_key(std::string_view key, std::uint32_t& group);
-std::string part_key(std::string_view controller, std::uint32_t group);
-bool parse_part_key(std::string_view key, std::string& controller, std::uint32_t& group);
-std::string claim_key(std::string_view controller);
-
 }  // namespace puffinhaven::wire
--- /dev/null
+++ b/src/wire/state_service.h
@@ -0,0 +1,45 @@
+// Requests to the state service and its answers.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace puffinhaven::wire {
+
+struct Guard {
+  std::string key;
+  std::uint64_t version = 0;  // 0: must not exist
+};
+struct Write {
+  std::string key;
+  std::optional<std::string> value;     // JSON text; none: delete
+  std::optional<std::uint64_t> permit;  // the hold that the key is attached to
+};
+std::string transaction_body(const std::vector<Guard>& guards, const std::vector<Write>& writes);
+bool parse_revision(std::string_view body, std::uint64_t& revision);
+bool parse_conflict(std::string_view body, std::uint64_t& revision,
+                    std::vector<std::string>& failed);
+bool parse_permit(std::string_view body, std::uint64_t& permit);
+std::string hold_body(std::uint64_t life_ms);
+
+struct StoredItem {
+  std::string key;
+  std::optional<std::string> value;  // none: deleted
+  std::uint64_t version = 0;
+};
+bool parse_item(std::string_view body, StoredItem& out);
+bool parse_page(std::string_view body, std::vector<StoredItem>& out, bool& more,
+                std::uint64_t& revision);
+bool parse_events(std::string_view body, std::vector<StoredItem>& out, std::uint64_t& revision);
+
+std::string item_path(std::string_view key);
+std::string page_path(std::string_view prefix, std::string_view after, std::uint32_t most);
+std::string watch_path(std::uint64_t after, std::uint64_t wait_ms);
+constexpr const char* kTransactionPath = "/multi";
+constexpr const char* kHoldsPath = "/holds";
+std::string extend_path(std::uint64_t permit);
+
+}  // namespace puffinhaven::wire
--- a/tests/component.h
+++ b/tests/component.h
@@ -12,7 +12,8 @@
 
 #include "core/context.h"
 #include "sim/state_stand_in.h"
-#include "wire/store.h"
+#include "wire/records.h"
+#include "wire/state_service.h"
 
 namespace puffinhaven::core {
 
--- a/tests/sim/machines.cpp
+++ b/tests/sim/machines.cpp
@@ -6,7 +6,7 @@
 #include "sim/actors.h"
 #include "sim/world.h"
 #include "wire/messages.h"
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::sim {
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -7,7 +7,7 @@
 
 #include "sim/actors.h"
 #include "wire/messages.h"
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::sim {
 
--- a/tests/upgrade_format_test.cpp
+++ b/tests/upgrade_format_test.cpp
@@ -10,7 +10,7 @@
 #include "core/replica.h"
 #include "wire/messages.h"
 #include "wire/peer.h"
-#include "wire/store.h"
+#include "wire/records.h"
 
 namespace puffinhaven::wire {
 namespace {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -3,7 +3,8 @@
 
 #include "wire/messages.h"
 #include "wire/peer.h"
-#include "wire/store.h"
+#include "wire/records.h"
+#include "wire/state_service.h"
 
 namespace puffinhaven::wire {
 namespace {
