--- a/tests/meetings_control_test.cpp
+++ b/tests/meetings_control_test.cpp
@@ -33,7 +33,7 @@
 }
 
 // No rule is broken and all comes to an end.
-Result run(const Options& o) {
+Result run_once(const Options& o) {
   Result r = World(o).run();
   EXPECT_TRUE(r.broken.empty()) << "seed " << o.seed << "\n" << list(r.broken);
   EXPECT_TRUE(r.unfinished.empty()) << "seed " << o.seed << "\n" << list(r.unfinished);
@@ -42,6 +42,18 @@
   return r;
 }
 
+// The same while services are submitted among the other jobs.
+void run_with_services(Options o) {
+  o.services = 0.1;
+  EXPECT_GT(run_once(o).services, 0);
+}
+
+// The meeting, for its first seed once more with services.
+Result run(const Options& o) {
+  if (o.seed == 1) run_with_services(o);
+  return run_once(o);
+}
+
 // The state service is slow, refuses the controller with most machines, and then everybody for
 // longer than cancel_s, while users cancel. Nobody is told of a cancellation that is not complete.
 TEST(MeetingsOfControl, CancelledAsTheStateServiceRefusesOneThenAll) {
@@ -167,27 +179,33 @@
   }
 }
 
+Options team_at_its_limit(std::uint64_t seed) {
+  std::vector<Planned> plan;
+  for (Ms t = 20'000; t < 32'000; t += 2000)
+    plan.push_back({t, t % 4000 == 0 ? Trouble::machine_hangs : Trouble::machine_deaf, 0, 25'000});
+  if (seed % 3 == 0) plan.push_back({25'000, Trouble::cut_from_workers, seed % 2, 20'000});
+  plan.push_back({28'000, Trouble::away, seed % 3, 12'000});
+  if (seed % 2 == 0) plan.push_back({36'000, Trouble::quick_restart, (seed + 1) % 3, 0});
+  Options o = meeting(seed, plan);
+  o.free_team_tenths = 1;
+  o.limit_cpus = 24;
+  o.cancels = {{27'000, 0.4}, {30'000, 0.3}, {34'000, 0.3}};
+  return o;
+}
+
 // A team is at its limit when the view changes; some of its machines cannot be asked, and jobs are
 // cancelled meanwhile. What may still run counts.
 TEST(MeetingsOfControl, LimitHoldsWhileMachinesCannotBeAsked) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
-    std::vector<Planned> plan;
-    for (Ms t = 20'000; t < 32'000; t += 2000)
-      plan.push_back(
-          {t, t % 4000 == 0 ? Trouble::machine_hangs : Trouble::machine_deaf, 0, 25'000});
-    if (seed % 3 == 0) plan.push_back({25'000, Trouble::cut_from_workers, seed % 2, 20'000});
-    plan.push_back({28'000, Trouble::away, seed % 3, 12'000});
-    if (seed % 2 == 0) plan.push_back({36'000, Trouble::quick_restart, (seed + 1) % 3, 0});
-    Options o = meeting(seed, plan);
-    o.free_team_tenths = 1;
-    o.limit_cpus = 24;
-    o.cancels = {{27'000, 0.4}, {30'000, 0.3}, {34'000, 0.3}};
-    const Result r = run(o);
+    const Result r = run_once(team_at_its_limit(seed));
     EXPECT_GT(r.most_used.at("tight"), 20) << "seed " << seed;
     EXPECT_FALSE(r.cancellations.empty()) << "seed " << seed;
   }
 }
 
+// The same with services, most of them of the team at its limit.
+TEST(MeetingsOfControl, ServicesOfATeamAtItsLimit) { run_with_services(team_at_its_limit(1)); }
+
 // A zone with workers and one or two controllers is cut off for several leases, while others end
 // and users cancel.
 TEST(MeetingsOfControl, ZoneWithControllersCutOff) {
--- a/tests/meetings_workers_test.cpp
+++ b/tests/meetings_workers_test.cpp
@@ -136,33 +136,52 @@
 
 class Meetings : public testing::TestWithParam<Meeting> {};
 
+// One run of the meeting, in which no rule is broken and everything ends.
+Result run(const Meeting& meeting, std::uint64_t seed, double services) {
+  Options o;
+  o.seed = seed;
+  o.troubles = false;
+  o.longest_task_s = 20;
+  o.calm_ms = 700'000;
+  o.until_over = true;
+  o.services = services;
+  meeting.day(o, seed);
+  if (const char* t = std::getenv("SIM_TRACE")) o.trace = t;
+  Result r = World(o).run();
+  std::string text;
+  for (const auto& b : r.broken) text += "  " + b + "\n";
+  for (const auto& u : r.unfinished) text += "  unfinished: " + u + "\n";
+  EXPECT_TRUE(r.broken.empty() && r.unfinished.empty()) << "seed " << seed << "\n" << text;
+  EXPECT_GT(r.done, 10) << "seed " << seed;
+  return r;
+}
+
+bool only_other_seed(std::uint64_t seed) {
+  const char* only = std::getenv("SIM_ONLY");  // one seed, to trace it
+  return only && std::strtoull(only, nullptr, 10) != seed;
+}
+
 TEST_P(Meetings, RulesHoldAndEverythingEnds) {
   const Meeting& meeting = GetParam();
   int met = 0;
-  const char* only = std::getenv("SIM_ONLY");  // one seed, to trace it
   for (std::uint64_t seed = 1; seed <= meeting.seeds; ++seed) {
-    if (only && std::strtoull(only, nullptr, 10) != seed) continue;
-    Options o;
-    o.seed = seed;
-    o.troubles = false;
-    o.longest_task_s = 20;
-    o.calm_ms = 700'000;
-    o.until_over = true;
-    meeting.day(o, seed);
-    if (const char* t = std::getenv("SIM_TRACE")) o.trace = t;
-    const Result r = World(o).run();
-    std::string text;
-    for (const auto& b : r.broken) text += "  " + b + "\n";
-    for (const auto& u : r.unfinished) text += "  unfinished: " + u + "\n";
-    EXPECT_TRUE(r.broken.empty() && r.unfinished.empty()) << "seed " << seed << "\n" << text;
-    EXPECT_GT(r.done, 10) << "seed " << seed;
-    met += meeting.met(r);
+    if (!only_other_seed(seed)) met += meeting.met(run(meeting, seed, 0));
   }
   RecordProperty("met", met);
   if (std::getenv("SIM_MET")) std::printf("met %d\n", met);
   EXPECT_GE(met, meeting.least) << "the runs do not bring about what they are for";
 }
 
+// The same while services are submitted among the arrays and gangs.
+TEST_P(Meetings, RulesHoldWithServices) {
+  constexpr double kServices = 0.1;  // of the jobs
+  int services = 0;
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    if (!only_other_seed(seed)) services += run(GetParam(), seed, kServices).services;
+  }
+  EXPECT_GT(services, 3);
+}
+
 INSTANTIATE_TEST_SUITE_P(Workers, Meetings, testing::ValuesIn(kMeetings),
                          [](const auto& m) { return std::string(m.param.name); });
 
