Log lines for decisions: which revision an answer, a start or a stop rests on

Need: records of a state that went back (a user told cancelled, then running) could not tell which revision of the state service an answer rested on, nor what the watch had brought by then. Not built at other levels. No behaviour changes.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -44,7 +44,7 @@
   app.set_version_flag("--version", std::string("puffinhaven ") + PUFFINHAVEN_VERSION);
   CLI11_PARSE(app, argc, argv);
   try {
-    const auto settings = puffinhaven::app::load_settings(config);
+    auto settings = puffinhaven::app::load_settings(config);
     const auto options = options_path.empty() ? puffinhaven::app::Options{}
                                               : puffinhaven::app::load_options(options_path);
     if (check) {
@@ -52,6 +52,7 @@
       return 0;
     }
     set_logging(options.log_level);
+    settings.core.log_debug = spdlog::should_log(spdlog::level::debug);
     asio::io_context io(1);
     puffinhaven::app::Service service(io, settings, options, fresh_seed());
     service.run();
--- a/src/core/commands.cpp
+++ b/src/core/commands.cpp
@@ -3,6 +3,7 @@
 
 #include "core/constants.h"
 #include "core/controller.h"
+#include "core/log_event.h"
 
 namespace puffinhaven::core {
 
@@ -58,8 +59,11 @@
     if (grace >= 0) {
       stopping = true;
       // Saving goes on undisturbed unless it is of no use any more.
-      if (seen.state != wire::TaskState::saving || grace == 0)
+      if (seen.state != wire::TaskState::saving || grace == 0) {
         out.push_back({wire::CommandKind::stop, task, seen.attempt, grace});
+        const bool cancelled = known && known->known && known->record.cancelled;
+        log_command(m, out.back(), p, !p ? "not_recorded" : cancelled ? "cancelled" : "unwanted");
+      }
       leaves = grace == 0 || !saves || seen.state == wire::TaskState::fetching ||
                seen.state == wire::TaskState::waiting;
     }
@@ -96,8 +100,7 @@
       gpus -= spec.gpus;
       memory -= spec.memory_gb;
       out.push_back({wire::CommandKind::start, task, p->attempt, 0});
-      log(LogLevel::debug, "starting " + wire::task_name(task.job, task.index) + " try " +
-                               std::to_string(p->attempt) + " on " + m.id);
+      log_command(m, out.back(), p, "placed");
       m.start_token = token(m);
       m.unseen_starts[task] = token(m);
     }
@@ -108,6 +111,17 @@
   return out;
 }
 
+void Controller::log_command(const Machine& m, const wire::Command& command,
+                             const wire::Placement* placement, std::string_view reason) {
+  if (!logs_debug()) return;
+  LogEvent event(command.kind == wire::CommandKind::start ? "start" : "stop");
+  event.field("task", wire::task_name(command.task.job, command.task.index));
+  event.field("attempt", command.attempt).field("machine", m.id).field("token", token(m));
+  event.field("session", placement ? placement->session : m.session).field("reason", reason);
+  event.field("revision", newest_revision(command.task.job)).field("watched", store_.watched());
+  log(LogLevel::debug, event.text());
+}
+
 // Guards against a start that waits for ever: two controllers may have filled the same machine at
 // the same time, and what runs there may be a service, which does not end. The task is placed anew
 // once the machine has shown that it does not have it.
--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 
 #include "core/constants.h"
+#include "core/log_event.h"
 
 namespace puffinhaven::core {
 
@@ -238,6 +239,13 @@
   std::string names;
   for (const auto& n : membership_.live()) names += " " + n;
   log(LogLevel::info, "view " + std::to_string(view.epoch) + ":" + names);
+  if (logs_debug()) {
+    LogEvent event("view");
+    event.field("epoch", view.epoch).field("token", Membership::token(view.epoch, 0));
+    event.field("revision", store_.version(std::string(wire::kViewKey)));
+    event.field("watched", store_.watched()).field("skipped", static_cast<int>(skipped));
+    log(LogLevel::debug, event.text());
+  }
   const bool member = ready() || (view.live.contains(settings_.name) &&
                                   view.live.at(settings_.name) == incarnation_);
   for (auto it = machines_.begin(); it != machines_.end();) {
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -148,6 +148,8 @@
             std::string body, Ms timeout, OutcomeHandler done);
   void answer(std::uint64_t request, int status, std::string body, int retry_after_s = 0);
   void log(LogLevel level, std::string text);
+  // Lines of level debug are built only if this is true.
+  bool logs_debug() const { return settings_.log_debug; }
   void on_item(Ms now, const wire::StoredItem& item);
   void after_changes(Ms now);
   void on_view(Ms now);
@@ -219,6 +221,10 @@
   void lookup(Ms now, std::uint64_t request, const std::string& job, Ms give_up, Found found);
   std::string verdict(const wire::JobSpec& spec) const;
   wire::JobState state_of(const Job& job) const;
+  // The newest revision of what the replica holds of the job; 0 if it holds nothing.
+  std::uint64_t newest_revision(const std::string& job) const;
+  // Which revision an answer about a job rests on.
+  void log_answer(const std::string& job, wire::JobState state);
   void finish_jobs(Ms now);
   void finish(const std::string& id, const Job& job);
 
@@ -239,6 +245,8 @@
   std::vector<wire::Command> commands(Ms now, Machine& m);
   void give_up_blocked_start(Ms now, Machine& m, const wire::TaskId& task, std::uint64_t attempt);
   bool direct_needed(const Machine& m, const std::vector<wire::Command>& commands) const;
+  void log_command(const Machine& m, const wire::Command& command, const wire::Placement* placement,
+                   std::string_view reason);
   // The task is not to be on any machine: cancelled, being stopped, or of a gang that failed.
   bool unwanted(const Machine& m, const TaskRef& ref, const wire::Placement& p) const;
   bool absence_open(const Machine& m) const;
--- a/src/core/jobs.cpp
+++ b/src/core/jobs.cpp
@@ -4,12 +4,31 @@
 
 #include "core/constants.h"
 #include "core/controller.h"
+#include "core/log_event.h"
 #include "core/placement.h"
 
 namespace puffinhaven::core {
 
 namespace k = constants;
 
+namespace {
+
+std::string_view name_of(wire::JobState state) {
+  switch (state) {
+    case wire::JobState::queued:
+      return "queued";
+    case wire::JobState::running:
+      return "running";
+    case wire::JobState::done:
+      return "done";
+    case wire::JobState::cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
 void Controller::decline(std::uint64_t request, int retry_after_s) {
   answer(request, 503, wire::error_body("not now"), retry_after_s);
 }
@@ -46,6 +65,7 @@
       return;
     }
     if (const Job* job = replica_.job(id)) {
+      log_answer(id, state_of(*job));
       found(at, true, state_of(*job), job->done_tasks(), job->placed_tasks());
       return;
     }
@@ -83,6 +103,24 @@
   return job.placed_tasks() > 0 ? wire::JobState::running : wire::JobState::queued;
 }
 
+std::uint64_t Controller::newest_revision(const std::string& id) const {
+  std::uint64_t newest =
+      std::max(store_.version(wire::job_key(id)), store_.version(wire::over_key(id)));
+  const auto job = replica_.jobs().find(id);
+  if (job == replica_.jobs().end()) return newest;
+  for (const auto& [number, range] : job->second.ranges)
+    newest = std::max(newest, store_.version(wire::range_key(id, number)));
+  return newest;
+}
+
+void Controller::log_answer(const std::string& id, wire::JobState state) {
+  if (!logs_debug()) return;
+  LogEvent event("answer");
+  event.field("job", id).field("state", name_of(state));
+  event.field("revision", newest_revision(id)).field("watched", store_.watched());
+  log(LogLevel::debug, event.text());
+}
+
 void Controller::on_health(Ms now, std::uint64_t request) {
   bool healthy = ready() && !superseded(now) && !catching_up(now);
   if (healthy && !store_.answering(now)) {
@@ -326,6 +364,7 @@
   }
   if (state != wire::JobState::done && state != wire::JobState::cancelled) return false;
   log(LogLevel::info, "cancellation of " + id + " told");
+  log_answer(id, state);
   answer(request, 200, wire::job_state_body(id, state));
   return true;
 }
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "core/constants.h"
+#include "core/log_event.h"
 
 namespace puffinhaven::core {
 
@@ -227,11 +228,21 @@
   if (pauses == pauses_) last_answer_ = std::max(last_answer_, now);
   for (const auto& e : events) apply(now, e);
   watched_ = std::max(watched_, revision);
+  log_read(now, watch_opened_, "watch", revision, events.size());
   std::erase_if(removed_, [this](const auto& r) { return r.second <= watched_; });
   release_barriers(now);
   if (now >= watch_at_) open_watch(now);
 }
 
+void Store::log_read(Ms now, Ms sent, std::string_view kind, std::uint64_t revision,
+                     std::size_t count) {
+  if (!settings_.log_debug) return;
+  LogEvent event(kind);
+  event.field("revision", revision).field("watched", watched_);
+  event.field("count", count).field("took_ms", now - sent);
+  log_(LogLevel::debug, event.text());
+}
+
 void Store::told(Ms now, std::uint64_t revision) {
   if (told_revision_ <= watched_) behind_since_ = now;
   told_revision_ = std::max(told_revision_, revision);
@@ -266,12 +277,13 @@
   auto batch = std::make_shared<std::vector<Barrier>>(std::move(barriers_));
   barriers_.clear();
   call(now, "GET", wire::item_path(kBarrierKey), "",
-       [this, batch, pauses = pauses_](Ms at, const Outcome& outcome) {
+       [this, batch, sent = now, pauses = pauses_](Ms at, const Outcome& outcome) {
          barrier_in_flight_ = false;
          std::uint64_t revision = 0;
          if (pauses == pauses_ && outcome.status == 404 &&
              wire::parse_revision(outcome.body, revision)) {
            told(at, revision);
+           log_read(at, sent, "barrier", revision, batch->size());
            for (auto& b : *batch) barrier_wait_.push_back({revision, std::move(b)});
            release_barriers(at);
            return;
@@ -448,12 +460,25 @@
   }
   auto shared = std::make_shared<std::vector<Transaction>>(std::move(group));
   call(now, "POST", wire::kTransactionPath, wire::transaction_body(guards, writes),
-       [this, shared](Ms at, const Outcome& outcome) {
+       [this, shared, sent = now](Ms at, const Outcome& outcome) {
          --in_flight_;
+         log_write(at, sent, shared->front().writes, outcome);
          on_group(at, std::move(*shared), outcome);
        });
 }
 
+void Store::log_write(Ms now, Ms sent, const std::vector<wire::Write>& writes,
+                      const Outcome& outcome) {
+  if (!settings_.log_debug) return;
+  std::uint64_t revision = 0;
+  const bool committed = outcome.status == 200 && wire::parse_revision(outcome.body, revision);
+  LogEvent event("transaction");
+  event.field("status", outcome.status).field("revision", committed ? revision : 0);
+  event.field("watched", watched_).field("first", writes.empty() ? "-" : writes.front().key);
+  event.field("took_ms", now - sent);
+  log_(LogLevel::debug, event.text());
+}
+
 void Store::on_group(Ms now, std::vector<Transaction> group, const Outcome& outcome) {
   std::uint64_t revision = 0;
   std::vector<std::string> failed;
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -72,6 +72,9 @@
   void passed(Ms now, Ms give_up, std::function<void(Ms now, bool ok)> done);
   void read(Ms now, const std::string& key, OutcomeHandler done);
   std::size_t queued() const { return queue_.size(); }
+  // Revision up to which the replica holds every change. Beyond it, it holds only what this
+  // controller has written itself.
+  std::uint64_t watched() const { return watched_; }
   // The replica holds every change up to the newest of this key.
   bool watched_past(const std::string& key) const { return version(key) <= watched_; }
   // Answers that a transaction was over the limit on sizes, or on the rate of changes.
@@ -110,6 +113,9 @@
   void keep_hold(Ms now);
   void note(Ms now, const Outcome& outcome, bool current);
   void apply(Ms now, const wire::StoredItem& item);
+  // What the state service said, at which revision, and how long it took from `sent` on.
+  void log_write(Ms now, Ms sent, const std::vector<wire::Write>& writes, const Outcome& outcome);
+  void log_read(Ms now, Ms sent, std::string_view kind, std::uint64_t revision, std::size_t count);
   void call(Ms sent, std::string method, std::string path, std::string body, OutcomeHandler done);
   double share(double rate) const { return rate / sharers_; }
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -53,6 +53,8 @@
   // The newest format of records that this controller reads and writes (wire/records.h).
   std::uint32_t record_format = wire::kServiceFormat;
   double cloud_rps = 0, list_lag_s = 0;
+  // Whether lines of level debug are wanted; building them costs time.
+  bool log_debug = true;
 };
 
 enum class Target : std::uint8_t { state, cloud, worker };
