Red tests: a user is told that a job is cancelled, then that it runs

From the records of an incident: one controller answered cancelled, then running. Reproduced twice. One core alone: a watch answer and the answer to a placement are late, that to a cancellation is not; the poll is answered at watched=11 from records of revision 13, without that of revision 12.

--- a/tests/alone.h
+++ b/tests/alone.h
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -93,6 +94,10 @@
     } else if (c.target == Target::state && !lose_.empty() && c.path.starts_with(lose_)) {
       state_.serve(now_, c, 0, [](int, const std::string&) {});
       late_.emplace_back(now_ + c.timeout, c.id);
+    } else if (c.target == Target::state && holds_answer_ && holds_answer_(c)) {
+      state_.serve(now_, c, 0, [this, c](int status, const std::string& body) {
+        held_answers_.emplace_back(c, Outcome{status, body});
+      });
     } else if (c.target == Target::state) {
       state_.serve(now_, c, 0, done);
     } else if (c.target == Target::worker) {
@@ -119,6 +124,21 @@
     }
   }
 
+  // Answers that the state service gave and the test held back arrive now.
+  void release_answers(const std::function<bool(const Call&)>& which) {
+    std::vector<std::pair<Call, Outcome>> arriving;
+    for (auto it = held_answers_.begin(); it != held_answers_.end();) {
+      if (!which(it->first)) {
+        ++it;
+        continue;
+      }
+      arriving.push_back(std::move(*it));
+      it = held_answers_.erase(it);
+    }
+    for (const auto& [call, outcome] : arriving) core_->on_outcome(now_, call.id, outcome);
+    pump();
+  }
+
   std::string body(std::uint64_t session, std::uint64_t sequence, const char* id = "n-1") const {
     sim::Put p;
     p.str("rig", id);
@@ -222,6 +242,9 @@
   // What the machine has: task and attempt, and whether it has exited.
   std::map<std::pair<std::string, std::uint64_t>, bool> tasks_;
   int direct_ = 0, starts_ = 0;
+  // State service: these requests are carried out, and their answers wait for release_answers().
+  std::function<bool(const Call&)> holds_answer_;
+  std::vector<std::pair<Call, Outcome>> held_answers_;
   bool garbage_ = false;  // all that is asked for is answered with it
   std::string lose_;  // state service: requests whose path begins so are carried out, unanswered
 };
--- /dev/null
+++ b/tests/answers_test.cpp
@@ -0,0 +1,171 @@
+// What users are told while answers of the state service overtake one another: once a user knows
+// that a job is accepted, done or cancelled, no controller gives that user an older answer.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "alone.h"
+#include "sim/world.h"
+
+namespace puffinhaven::core {
+namespace {
+
+bool is_watch(const Call& call) { return call.path.starts_with("/changes"); }
+
+bool writes_range(const Call& call) {
+  return call.path == "/multi" && call.body.find(R"("write":"range/)") != std::string::npos;
+}
+
+class LoneAnswers : public Alone {
+ protected:
+  // Another job ends the watch that is open, so that the test holds the next one.
+  void hold_watches() {
+    obeys_ = true;
+    ASSERT_EQ(report(50).status, 200);
+    holds_answer_ = is_watch;
+    submit("req-000009");
+    for (int i = 0; i < 30; ++i) {
+      run(100);
+      release_answers(is_watch);
+    }
+    ASSERT_EQ(tasks_.size(), 2U);
+  }
+
+  // What the state service answers a watch that is open at this moment.
+  void answer_watch() {
+    state_.serve_watchers(now_, [](std::size_t) { return true; });
+  }
+
+  // Lets time pass, in which no watch is answered.
+  bool placement_is_sent() {
+    const auto sent = [this] {
+      return std::any_of(held_answers_.begin(), held_answers_.end(),
+                         [](const auto& held) { return writes_range(held.first); });
+    };
+    for (const Ms end = now_ + 400; now_ < end && !sent(); now_ += 20) {
+      core_->tick(now_, now_);
+      pump();
+    }
+    return sent();
+  }
+
+  std::uint64_t poll(const std::string& id) {
+    const std::uint64_t request = next_++;
+    core_->on_request(now_, request, {"GET", "/v1/jobs/" + id, ""});
+    pump();
+    return request;
+  }
+
+  bool says(std::uint64_t request, const std::string& state) const {
+    const auto answer = answers_.find(request);
+    return answer != answers_.end() && answer->second.body.find(state) != std::string::npos;
+  }
+};
+
+// The placement's answer is late, the cancellation's is not, and a watch answer from before both
+// comes between them: the controller knows its later write without the earlier one.
+TEST_F(LoneAnswers, APollRestsOnNoStateThatNeverExisted) {
+  hold_watches();
+  holds_answer_ = [](const Call& call) { return is_watch(call) || writes_range(call); };
+  submit("req-000001");
+  pump();
+  const std::uint64_t first = poll("req-000001");
+  EXPECT_EQ(status(first), 0);  // until the watch has passed what was read
+  answer_watch();
+  ASSERT_TRUE(placement_is_sent());
+  const std::uint64_t cancelled = cancel("req-000001");
+  release_answers(is_watch);
+  EXPECT_FALSE(says(first, "withdrawn"));  // two tasks are placed
+  release_answers(writes_range);
+  const std::uint64_t second = poll("req-000001");
+  holds_answer_ = nullptr;
+  release_answers([](const Call&) { return true; });
+  run(1000);
+  ASSERT_EQ(status(first), 200);
+  ASSERT_EQ(status(second), 200);
+  EXPECT_FALSE(says(first, "withdrawn") && !says(second, "withdrawn"))
+      << answers_[first].body << " then " << answers_[second].body;
+  EXPECT_TRUE(says(cancelled, "withdrawn"));
+}
+
+}  // namespace
+}  // namespace puffinhaven::core
+
+namespace puffinhaven::sim {
+namespace {
+
+std::string list(const std::vector<std::string>& lines) {
+  std::string out;
+  for (const auto& l : lines) out += l + "\n";
+  return out;
+}
+
+// Small jobs that find room at once, each asked about at all nodes within milliseconds and most of
+// them cancelled at once. The state service's rates are low, so that watches are reopened about ten
+// times a second.
+Options close_looks(std::uint64_t seed, const std::vector<Trouble>& troubles) {
+  Options o;
+  o.seed = seed;
+  o.troubles = false;
+  o.busy_ms = 40'000;
+  o.calm_ms = 200'000;
+  o.until_over = true;
+  o.machines = 12;
+  o.capacity = 6;
+  o.job_every_ms = 250;
+  o.largest_array = 12;
+  o.gang_tenths = 1;
+  o.state_rps = 120;
+  o.planned = {{3000, Trouble::close_looks, 0, 37'000}};
+  for (const Trouble trouble : troubles) o.planned.push_back({3000, trouble, 0, 37'000});
+  if (const char* t = std::getenv("SIM_TRACE")) o.trace = t;
+  return o;
+}
+
+// Seeds to run instead of those of CI, a list of numbers separated by commas or one range "1-1000".
+std::vector<std::uint64_t> seeds_or(std::vector<std::uint64_t> in_ci) {
+  const char* text = std::getenv("SEEDS");
+  if (!text) return in_ci;
+  std::vector<std::uint64_t> seeds;
+  char* end = nullptr;
+  for (const char* at = text; *at != '\0'; at = *end == ',' ? end + 1 : end) {
+    std::uint64_t first = std::strtoull(at, &end, 10);
+    const std::uint64_t last = *end == '-' ? std::strtoull(end + 1, &end, 10) : first;
+    while (first <= last) seeds.push_back(first++);
+  }
+  return seeds;
+}
+
+// How many seeds break a rule.
+int broken_seeds(const std::vector<std::uint64_t>& in_ci, const std::vector<Trouble>& troubles) {
+  int broken = 0;
+  for (const std::uint64_t seed : seeds_or(in_ci)) {
+    const Result r = World(close_looks(seed, troubles)).run();
+    EXPECT_TRUE(r.broken.empty()) << "seed " << seed << "\n" << list(r.broken);
+    EXPECT_TRUE(r.unfinished.empty()) << "seed " << seed << "\n" << list(r.unfinished);
+    EXPECT_GT(r.close_looks, 100) << "seed " << seed;
+    EXPECT_GT(r.cancelled, 20) << "seed " << seed;
+    broken += r.broken.empty() ? 0 : 1;
+  }
+  return broken;
+}
+
+// Besides the first ones, seeds that told users of a cancellation and then that the job runs.
+TEST(Answers, NeverGoBackWhileTheStateServiceIsLate) {
+  EXPECT_EQ(broken_seeds({1, 2, 10, 21, 39, 51}, {Trouble::watch_lags}), 0);
+  EXPECT_EQ(broken_seeds({1, 2, 17, 23, 33, 39}, {Trouble::state_reorders}), 0);
+}
+
+TEST(Answers, NeverGoBackWhenAskedWithinMilliseconds) {
+  EXPECT_EQ(broken_seeds({1, 2, 3, 4}, {}), 0);
+}
+
+TEST(Answers, NeverGoBackWhileAnswersAreLost) {
+  EXPECT_EQ(broken_seeds({1, 2, 3, 4}, {Trouble::answers_lost}), 0);
+  EXPECT_EQ(broken_seeds({1, 2, 3, 4}, {Trouble::state_reorders, Trouble::answers_lost}), 0);
+}
+
+}  // namespace
+}  // namespace puffinhaven::sim
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -176,6 +176,18 @@
     case Trouble::odd_requests:
       for (Ms t = 0; t < lasts; t += 100) at(now_ + t, [this] { odd_request(); });
       break;
+    case Trouble::state_reorders:
+      state_reorders_until_ = now_ + lasts;
+      break;
+    case Trouble::watch_lags:
+      watch_lags_until_ = now_ + lasts;
+      break;
+    case Trouble::answers_lost:
+      answers_lost_until_ = now_ + lasts;
+      break;
+    case Trouble::close_looks:
+      close_looks_until_ = now_ + lasts;
+      break;
     case Trouble::machine_deaf:
       if (Worker* w = machine(); w && w->deaf_since == 0) {
         w->deaf_since = now_;
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -95,6 +95,10 @@
                if (!wire::parse_object(body, doc)) return broke("answer", body);
                told(id, doc["status"].GetString(), asked);
                if (first) at(now_ + 1000, [this, id] { poll(id); });
+               if (first && now_ < close_looks_until_) {
+                 look_closely(id);
+                 if (chance(0.8)) at(now_ + random(150), [this, id] { cancel(id, 0); });
+               }
                if (first && job.cancel_planned_at)
                  at(job.cancel_planned_at, [this, id] { cancel(id, 0); });
                // Repeated at any later time.
@@ -111,8 +115,21 @@
            });
 }
 
+void World::look_closely(const std::string& id) {
+  ++result_.close_looks;
+  for (std::size_t node = 0; node < nodes_.size(); ++node) {
+    for (int k = 1 + random(4); k > 0; --k)
+      at(now_ + random(250), [this, id, node] { ask_state(id, node, false); });
+  }
+  for (int k = random(3); k > 0; --k) at(now_ + random(250), [this, id] { submit(id, 60); });
+}
+
 void World::poll(const std::string& id, bool again) {
-  ask_node(static_cast<std::size_t>(random(3)), {"GET", "/v1/jobs/" + id, ""}, "",
+  ask_state(id, static_cast<std::size_t>(random(3)), again);
+}
+
+void World::ask_state(const std::string& id, std::size_t node, bool again) {
+  ask_node(node, {"GET", "/v1/jobs/" + id, ""}, "",
            [this, id, again, asked = now_](int status, const std::string& body) {
              auto& job = jobs_.at(id);
              rapidjson::Document doc;
@@ -141,6 +158,7 @@
                if (state != "done" && state != "withdrawn")
                  broke("answer", "asked to cancel " + id + ": " + state);
                told(id, state, asked);
+               if (now_ < close_looks_until_) look_closely(id);
              } else if (tries < 60) {
                at(now_ + 1000, [this, id, tries] { cancel(id, tries + 1); });
              }
@@ -150,6 +168,7 @@
 // The last task of a job has just ended, and nobody has been told.
 void World::ends(const std::string& id) {
   auto& job = jobs_.at(id);
+  if (now_ < close_looks_until_ && job.accepted) look_closely(id);
   if (now_ >= cancel_at_end_until_ || !job.accepted || !chance(0.6)) return;
   ++result_.met_at_end;
   // At once, or while the end is on its way to the records.
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -36,7 +36,7 @@
   settings_.gang_wait_s = 6;
   settings_.gang_peer_s = 2;
   settings_.cancel_s = options.cancel_s;
-  settings_.state_rps = 400;
+  settings_.state_rps = options.state_rps;
   settings_.state_write_rps = kWritesPerS;
   settings_.value_kb = static_cast<double>(state_->limits.value_bytes) / 1024.0;
   settings_.txn_ops = static_cast<int>(state_->limits.txn_ops);
@@ -138,6 +138,7 @@
       if (std::exchange(nodes_[i]->away_until, 0) > now_ && !nodes_[i]->controller) start_node(i);
     }
     late_copies_until_ = late_writes_until_ = 0;
+    state_reorders_until_ = watch_lags_until_ = answers_lost_until_ = close_looks_until_ = 0;
     for (auto& [id, w] : workers_) {
       w->hanging = w->sick = false;
       w->deaf_since = w->mute_since = 0;
@@ -373,20 +374,28 @@
   }
   const int slower = call.target == core::Target::state ? state_slower_ : 1;
   const bool worker = call.target == core::Target::worker;
-  at(now_ + (worker ? worker_hop() : hop() * slower),
-     [this, i, call, blocked, finish, slower, worker] {
-       execute(call, i, [this, blocked, finish, slower, worker](int status, std::string body) {
-         if (blocked() || chance(0.003)) return;  // the answer is lost
-         at(now_ + (worker ? worker_hop() : hop() * slower),
-            [finish, status, body] { finish(status, body); });
-       });
-     });
+  at(now_ + (worker ? worker_hop() : hop() * slower), [this, i, call, blocked, finish, slower,
+                                                       worker] {
+    execute(call, i, [this, call, blocked, finish, slower, worker](int status, std::string body) {
+      if (blocked() || chance(0.003)) return;  // the answer is lost
+      if (call.path == "/multi" && now_ < answers_lost_until_ && chance(0.05)) return;
+      const Ms way = worker ? worker_hop() : hop() * slower + state_answer_delay(call);
+      at(now_ + way, [finish, status, body] { finish(status, body); });
+    });
+  });
   // Repeats of requests that were carried out.
   if (call.method == "POST" && chance(options_.repeated))
     at(now_ + 50 + random(15'000),
        [this, i, call] { execute(call, i, [](int, const std::string&) {}); });
 }
 
+Ms World::state_answer_delay(const core::Call& call) {
+  if (call.target != core::Target::state) return 0;
+  const bool watch = call.path.starts_with("/changes");
+  const bool delays = now_ < state_reorders_until_ || (watch && now_ < watch_lags_until_);
+  return delays && chance(0.3) ? 50 + random(450) : 0;
+}
+
 // The service has the transaction already: neither a cut nor the end of its sender holds it up.
 void World::carry_out_late(std::size_t i, const core::Call& call) {
   auto later = std::make_shared<std::function<void()>>();
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -55,6 +55,11 @@
   cancel_now,        // of many running jobs at once, while some of their machines hang
   cancel_at_end,     // of jobs whose last task has just ended; questions and repeats as well
   odd_requests,      // jobs that cannot run or lack a field, repeats, jobs that nobody submitted
+  // Not among the random ones:
+  state_reorders,  // answers of the state service overtake one another, up to 500 ms late
+  watch_lags,      // only the state service's watches answer up to 500 ms late
+  answers_lost,    // one transaction in twenty is carried out without an answer
+  close_looks,     // users ask at all nodes within milliseconds of each answer, and most cancel
   count
 };
 
@@ -80,11 +85,11 @@
   int free_team_tenths = 6;                    // share of jobs of the team without a limit
   Ms cancel_all_at = 0;                        // users cancel all jobs then; 0: never
   std::vector<std::pair<Ms, double>> cancels;  // when, and the share of the jobs under way
-  double uneven = 0;                    // share of jobs of two or three tasks that end far apart
-  Trouble mix_before = Trouble::count;  // random troubles are those before it
-  double limit_cpus = 40;               // of team "tight"
-  double mistaken = 0.03;               // share of jobs that fail on every machine
-  double repeated = 0.02;               // share of requests of which a copy is executed again later
+  double uneven = 0;  // share of jobs of two or three tasks that end far apart
+  Trouble mix_before = Trouble::state_reorders;  // random troubles are those before it
+  double limit_cpus = 40;                        // of team "tight"
+  double mistaken = 0.03;                        // share of jobs that fail on every machine
+  double repeated = 0.02;  // share of requests of which a copy is executed again later
   // Size: machines at the start, what the cloud has of each zone and kind, the largest array, and
   // milliseconds between jobs on average.
   int machines = 6, capacity = 3, largest_array = 60;
@@ -92,6 +97,7 @@
   std::uint32_t large_gang = 0;  // tasks of one gang of whole machines, as the tenth job
   double bound = 0;              // share of jobs that `together` or `yard` binds to one zone
   double cancel_s = 20;
+  double state_rps = 400;  // requests that the state service allows, as controllers are told
   // Share of jobs that are services, of which half are cancelled when they have run for 20 to 60 s,
   // the others in calm after `services_calm_ms`; and share of replicas that end by themselves.
   double services = 0;
@@ -147,6 +153,7 @@
   // Answers to /healthz of a controller isolated for over 10 s, and in an outage that all share.
   int isolated_healthy = 0, isolated_unhealthy = 0, outage_healthy = 0, outage_unhealthy = 0;
   int users_at_isolated = 0;  // requests of users that an isolated controller answered
+  int close_looks = 0;        // answers after which users asked at all nodes at once
   std::vector<std::pair<Ms, Ms>> cancellations;  // confirmed: when first asked for, and when told
   // Services accepted; replicas that ended by themselves, and starts of those that had run before;
   // seconds of replicas in calm that were due, of accepted services with room, and were served.
@@ -188,6 +195,8 @@
   void keep_away(std::size_t i, Ms lasts);
   void outage(Ms lasts);
   void carry_out_late(std::size_t i, const core::Call& call);
+  // How much longer than usual an answer of the state service takes.
+  Ms state_answer_delay(const core::Call& call);
   void tick_node(std::size_t i, std::uint64_t generation);
   void tick_once(std::size_t i);
   void drain(std::size_t i);
@@ -227,6 +236,9 @@
   void new_job();
   void submit(const std::string& id, int tries);
   void poll(const std::string& id, bool again = true);
+  void ask_state(const std::string& id, std::size_t node, bool again);
+  // Questions and repeated submissions at all nodes within a quarter of a second.
+  void look_closely(const std::string& id);
   void odd_request();
   void odd_submission(bool malformed);
   void ends(const std::string& id);
@@ -278,6 +290,8 @@
   std::string cut_zone_;
   int state_slower_ = 1;
   Ms late_copies_until_ = 0, late_writes_until_ = 0;
+  Ms state_reorders_until_ = 0, watch_lags_until_ = 0, answers_lost_until_ = 0;
+  Ms close_looks_until_ = 0;
   Ms reports_held_until_ = 0, cancel_at_end_until_ = 0;
   Ms over_since_ = 0;  // all jobs
   int next_odd_ = 0;
