--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -89,6 +89,7 @@
   } else if (path == wire::kHealthPath) {
     get ? on_health(now, request) : method_error();
   } else if (path == wire::kJobsPath) {
+    note_request(now, request, "submit");
     post ? on_submit(now, request, r.body) : method_error();
   } else if (path.starts_with(std::string(wire::kJobsPath) + "/")) {
     std::string id = path.substr(std::string_view(wire::kJobsPath).size() + 1);
@@ -101,6 +102,7 @@
     } else if (!wire::valid_job_id(id)) {
       answer(request, 404, wire::error_body("no such job"));
     } else {
+      note_request(now, request, cancel ? "cancel" : "poll");
       cancel ? on_cancel(now, request, id, 0) : on_poll(now, request, id);
     }
   } else {
@@ -129,9 +131,24 @@
 }
 
 void Controller::answer(std::uint64_t request, int status, std::string body, int retry_after_s) {
+  log_reply(request, status);
   out_.answers.push_back({request, status, std::move(body), retry_after_s});
 }
 
+void Controller::note_request(Ms now, std::uint64_t request, std::string_view kind) {
+  if (logs_debug()) user_requests_[request] = {kind, now};
+}
+
+void Controller::log_reply(std::uint64_t request, int status) {
+  const auto asked = user_requests_.find(request);
+  if (asked == user_requests_.end()) return;
+  LogEvent event("reply");
+  event.field("request", asked->second.kind).field("status", status);
+  event.field("took_ms", last_input_at_ - asked->second.asked_at);
+  log(LogLevel::debug, event.text());
+  user_requests_.erase(asked);
+}
+
 void Controller::log(LogLevel level, std::string text) {
   out_.logs.push_back({level, std::move(text)});
 }
--- a/src/core/controller.h
+++ b/src/core/controller.h
@@ -147,6 +147,13 @@
   void call(Target target, std::string address, std::string method, std::string path,
             std::string body, Ms timeout, OutcomeHandler done);
   void answer(std::uint64_t request, int status, std::string body, int retry_after_s = 0);
+  // For the log: a user's request that is not answered yet.
+  struct UserRequest {
+    std::string_view kind;
+    Ms asked_at = 0;
+  };
+  void note_request(Ms now, std::uint64_t request, std::string_view kind);
+  void log_reply(std::uint64_t request, int status);
   void log(LogLevel level, std::string text);
   // Lines of level debug are built only if this is true.
   bool logs_debug() const { return settings_.log_debug; }
@@ -423,6 +430,8 @@
   double fleet_cpus_ = 0;
   Ms fleet_cpus_at_ = 0;
   std::size_t waiting_requests_ = 0;
+  std::unordered_map<std::uint64_t, UserRequest>
+      user_requests_;  // only while debug lines are wanted
   std::map<std::string, std::vector<CancelWait>> cancel_waits_;  // by job; counted in the former
   std::map<std::string, bool> quota_busy_;
   std::set<std::string> quota_uncertain_;  // busy until written again
