Red tests of two other paths: pages of different moments, and a start's token

Found by running the close looks with a state service that forgets changes soon (410), and among random troubles.

--- a/tests/alone.h
+++ b/tests/alone.h
@@ -108,7 +108,12 @@
           token_ = std::max(token_, doc["baton"].GetUint64());
           obey(doc["orders"]);
         }
-        done(200, body(session_, ++sequence_));
+        const Outcome outcome{200, body(session_, ++sequence_)};
+        if (holds_answer_ && holds_answer_(c)) {
+          held_answers_.emplace_back(c, outcome);
+        } else {
+          done(outcome.status, outcome.body);
+        }
       } else {
         late_.emplace_back(now_ + c.timeout, c.id);
       }
@@ -124,7 +129,7 @@
     }
   }
 
-  // Answers that the state service gave and the test held back arrive now.
+  // Answers that were given and that the test held back arrive now.
   void release_answers(const std::function<bool(const Call&)>& which) {
     std::vector<std::pair<Call, Outcome>> arriving;
     for (auto it = held_answers_.begin(); it != held_answers_.end();) {
@@ -242,7 +247,8 @@
   // What the machine has: task and attempt, and whether it has exited.
   std::map<std::pair<std::string, std::uint64_t>, bool> tasks_;
   int direct_ = 0, starts_ = 0;
-  // State service: these requests are carried out, and their answers wait for release_answers().
+  // State service and machines: these requests are carried out, and their answers wait for
+  // release_answers().
   std::function<bool(const Call&)> holds_answer_;
   std::vector<std::pair<Call, Outcome>> held_answers_;
   bool garbage_ = false;  // all that is asked for is answered with it
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -170,6 +170,21 @@
   EXPECT_EQ(broken_seeds({1, 2, 3, 4}, {Trouble::state_reorders, Trouble::answers_lost}), 0);
 }
 
+// The state service forgets changes that a late watch still needs: everything is read again, page
+// after page, while it changes.
+TEST(Answers, NeverGoBackWhileEverythingIsReadAgain) {
+  int read_again = 0;
+  for (const std::uint64_t seed : seeds_or({1, 2, 8, 48})) {
+    Options options = close_looks(seed, {Trouble::state_reorders});
+    options.changes_kept = 5;
+    const Result r = World(options).run();
+    EXPECT_TRUE(r.broken.empty()) << "seed " << seed << "\n" << list(r.broken);
+    EXPECT_TRUE(r.unfinished.empty()) << "seed " << seed << "\n" << list(r.unfinished);
+    read_again += r.watches_too_old;
+  }
+  EXPECT_GT(read_again, 10);
+}
+
 // The same while machines, controllers and links fail.
 TEST(Answers, NeverGoBackAmongOtherTroubles) {
   EXPECT_EQ(broken_seeds({1, 2, 3, 4, 5, 6}, {Trouble::state_reorders}, true), 0);
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -147,6 +147,34 @@
   EXPECT_EQ(core_->replica().job("req-000001")->placed_tasks(), 2U);
 }
 
+// A start on its way in the answer to a report is outrun by a higher token than the one it carries
+// before its task counts as gone.
+TEST_F(Alone, AStartOnItsWayCarriesALowerTokenThanTheProofThatItIsGone) {
+  EXPECT_EQ(report(50).status, 200);
+  // The first start reaches the machine, which does not obey, and its answer is late.
+  holds_answer_ = [](const Call& call) { return call.target == Target::worker; };
+  submit("req-000001");
+  run(200);
+  ASSERT_FALSE(held_answers_.empty());
+  submit("req-000002");
+  run(200);
+  cancel("req-000001");
+  run(100);
+  // The second start goes out with this answer, which is on its way for long.
+  hears_ = false;
+  const Answer late = report(sequence_ + 1);
+  ASSERT_NE(late.body.find(R"("start","load":"req-000002)"), std::string::npos) << late.body;
+  rapidjson::Document doc;
+  ASSERT_TRUE(wire::parse_object(late.body, doc));
+  const std::uint64_t carried = doc["baton"].GetUint64();
+  const std::uint64_t cancelled = cancel("req-000002");
+  holds_answer_ = nullptr;
+  release_answers([](const Call&) { return true; });
+  run(900);
+  ASSERT_EQ(status(cancelled), 200);
+  EXPECT_GT(token_, carried);
+}
+
 // Nor does one that was held back until another owner had acted, and is the first that this one
 // hears: the machine has not shown its token.
 TEST_F(Alone, AReportHeldBackUntilANewOwnerActedFreesNothing) {
--- a/tests/sim/state_stand_in.h
+++ b/tests/sim/state_stand_in.h
@@ -79,6 +79,8 @@
   bool outage = false;
   bool holds_wait = false;  // none ends in this outage
   bool ignore_guards = false;
+  std::uint64_t changes_kept = 10'000;  // older ones are told to no watch: 410
+  int watches_too_old = 0;              // that were answered so
   // Of the changes that the rate allows now, and when that was counted.
   double burst_left = 0;
   Ms burst_counted_at = 0;
@@ -233,6 +235,10 @@
     Put p;
     if (call.path.starts_with("/changes")) {
       auto q = query(call.path);
+      if (revision > std::stoull(q["after"]) + changes_kept) {
+        ++watches_too_old;
+        return respond(410, "{}");
+      }
       watchers.push_back({std::stoull(q["after"]), now + std::stoll(q["blockMs"]), node, respond});
     } else if (call.path == "/multi") {
       transact(now, call.body, respond);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -23,6 +23,7 @@
       state_(std::make_unique<StateStandIn>()),
       cloud_(std::make_unique<Cloud>()) {
   state_->ignore_guards = options.state_ignores_guards;
+  state_->changes_kept = options.changes_kept;
   settings_.teams = {{"free", 0, 0, 0, 0}, {"tight", 8, options.limit_cpus, 0, 0}};
   settings_.objectives = {{core::ObjectiveKind::finished, "small", 0.9, 0, 30},
                           {core::ObjectiveKind::deadline, "due", 0.9, 1.0, 0},
@@ -161,6 +162,7 @@
                     [](const StateStandIn::Change& c) { return c.key == wire::kViewKey; }));
   result_.over_limits = state_->over_limits;
   result_.throttled = state_->throttled;
+  result_.watches_too_old = state_->watches_too_old;
   result_.peak_requests = state_->peak_requests;
   result_.peak_writes = state_->peak_writes;
   for (const auto& n : nodes_)
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -97,6 +97,7 @@
   std::uint32_t large_gang = 0;  // tasks of one gang of whole machines, as the tenth job
   double bound = 0;              // share of jobs that `together` or `yard` binds to one zone
   double cancel_s = 20;
+  std::uint64_t changes_kept = 10'000;  // by the state service, for watches
   double state_rps = 400;  // requests that the state service allows, as controllers are told
   // Share of jobs that are services, of which half are cancelled when they have run for 20 to 60 s,
   // the others in calm after `services_calm_ms`; and share of replicas that end by themselves.
@@ -152,6 +153,7 @@
   int quarantined_starts = 0;  // on machines that had been deaf for longer than a lease
   // Answers to /healthz of a controller isolated for over 10 s, and in an outage that all share.
   int isolated_healthy = 0, isolated_unhealthy = 0, outage_healthy = 0, outage_unhealthy = 0;
+  int watches_too_old = 0;    // answered 410: the controller reads everything again
   int users_at_isolated = 0;  // requests of users that an isolated controller answered
   int close_looks = 0;        // answers after which users asked at all nodes at once
   std::vector<std::pair<Ms, Ms>> cancellations;  // confirmed: when first asked for, and when told
