The state counts as read only once the watch has passed every page of it

Cause: after a watch that fell behind (410), or at the start, pages are read one after the other while the state changes; the controller then counted as ready at the first page's revision, with a replica that never existed: a job's record from before its end, its range already gone. Users were answered from it, also by barrier reads older than the reading. Change: Store::loaded() only when the watch has passed the newest page; until then no barrier is released, nothing is written and no change is acted on. The reading is an enum instead of two flags.

--- a/src/core/controller.cpp
+++ b/src/core/controller.cpp
@@ -201,6 +201,7 @@
 }
 
 void Controller::after_changes(Ms now) {
+  if (!store_.loaded()) return;  // they are looked at when all is known
   replica_.take_view_changed();
   for (const auto& id : replica_.take_changed_machines()) {
     dirty_ = true;
--- a/src/core/store.cpp
+++ b/src/core/store.cpp
@@ -85,15 +85,8 @@
 }
 
 void Store::tick(Ms now) {
-  if (!loaded_ && !loading_ && now >= load_retry_at_) {
-    loading_ = true;
-    load_prefix_ = 0;
-    load_after_.clear();
-    load_revision_known_ = false;
-    load_seen_.clear();
-    load_next(now);
-  }
-  if (loaded_) {
+  if (load_ == Load::none && now >= load_retry_at_) begin_load(now);
+  if (watches()) {
     // Guards against a watch whose answer was lost: other answers name revisions that it should
     // have brought long ago. Whatever it still answers is ignored.
     const bool behind = told_revision_ > watched_ && now - behind_since_ > k::kWatchBehindMs;
@@ -130,22 +123,33 @@
 
 // ---- reading everything ----
 
+void Store::begin_load(Ms now) {
+  load_ = Load::reading;
+  load_prefix_ = 0;
+  load_after_.clear();
+  load_revision_known_ = false;
+  load_newest_ = 0;
+  load_seen_.clear();
+  load_next(now);
+}
+
 void Store::load_next(Ms now) {
   const std::string prefix(kLoaded[load_prefix_]);
   call(now, "GET", wire::page_path(prefix, load_after_, k::kPageItems), "",
        [this](Ms at, const Outcome& outcome) {
-         if (loaded_ || !loading_) return;
+         if (load_ != Load::reading) return;
          std::vector<wire::StoredItem> items;
          bool more = false;
          std::uint64_t revision = 0;
          if (outcome.status != 200 || !wire::parse_page(outcome.body, items, more, revision)) {
-           loading_ = false;
+           load_ = Load::none;
            load_retry_at_ = at + k::kProbeEveryMs;
            return;
          }
          // Guards against watching from a later page's revision: the first one may well be 0.
          if (!load_revision_known_) load_revision_ = revision;
          load_revision_known_ = true;
+         load_newest_ = std::max(load_newest_, revision);
          for (auto& item : items) {
            load_seen_.insert(item.key);
            load_after_ = item.key;
@@ -159,23 +163,33 @@
            load_next(at);
            return;
          }
-         // What an earlier reading knew and this one did not find was removed in between.
-         std::vector<std::string> vanished;
-         for (const auto& [key, version] : versions_) {
-           if (version <= load_revision_ && !load_seen_.contains(key) &&
-               !key.starts_with(wire::kOverPrefix))
-             vanished.push_back(key);
-         }
-         for (auto& key : vanished) apply(at, {std::move(key), std::nullopt, load_revision_ + 1});
-         load_seen_.clear();
-         loading_ = false;
-         loaded_ = true;
-         watched_ = load_revision_;
-         log_(LogLevel::info, "state read up to revision " + std::to_string(watched_));
-         tick(at);
+         on_pages_read(at);
        });
 }
 
+void Store::on_pages_read(Ms now) {
+  // What an earlier reading knew and this one did not find was removed in between.
+  std::vector<std::string> vanished;
+  for (const auto& [key, version] : versions_) {
+    if (version <= load_revision_ && !load_seen_.contains(key) &&
+        !key.starts_with(wire::kOverPrefix))
+      vanished.push_back(key);
+  }
+  for (auto& key : vanished) apply(now, {std::move(key), std::nullopt, load_revision_ + 1});
+  load_seen_.clear();
+  watched_ = load_revision_;
+  load_ = Load::catching_up;
+  log_(LogLevel::info, "state read up to revision " + std::to_string(watched_));
+  complete_load();
+  tick(now);
+}
+
+// Guards against answers and decisions from pages that were read at different revisions: a job's
+// record from before its end, say, without the range that was removed with it.
+void Store::complete_load() {
+  if (load_ == Load::catching_up && watched_ >= load_newest_) load_ = Load::complete;
+}
+
 void Store::apply(Ms now, const wire::StoredItem& item) {
   if (auto it = removed_.find(item.key); it != removed_.end()) {
     if (item.version <= it->second) return;
@@ -214,8 +228,7 @@
   watch_at_ = std::max(now, watch_opened_ + static_cast<Ms>(1000.0 / std::max(rate, 0.1)));
   if (outcome.status == 410) {
     log_(LogLevel::info, "watch fell behind; reading the state again");
-    loaded_ = false;
-    loading_ = false;
+    load_ = Load::none;
     load_retry_at_ = now;
     return;
   }
@@ -230,6 +243,7 @@
   watched_ = std::max(watched_, revision);
   log_read(now, watch_opened_, "watch", revision, events.size());
   std::erase_if(removed_, [this](const auto& r) { return r.second <= watched_; });
+  complete_load();
   release_barriers(now);
   if (now >= watch_at_) open_watch(now);
 }
@@ -252,7 +266,7 @@
 
 void Store::barrier(Ms now, Ms give_up, std::function<void(Ms, bool)> done) {
   barriers_.push_back({give_up, std::move(done)});
-  if (loaded_ && !barrier_in_flight_ && now >= next_barrier_) send_barrier(now);
+  if (watches() && !barrier_in_flight_ && now >= next_barrier_) send_barrier(now);
 }
 
 void Store::settle(Ms now, std::function<void(Ms)> done) {
@@ -293,6 +307,7 @@
 }
 
 void Store::release_barriers(Ms now) {
+  if (!loaded()) return;
   std::vector<Barrier> ready;
   for (std::size_t i = 0; i < barrier_wait_.size();) {
     if (barrier_wait_[i].revision <= watched_) {
@@ -360,7 +375,7 @@
   if (!queue_.empty() && in_flight_ < k::kTransactionsInFlight)
     at = std::min(at, std::max({next_transaction_, paused_until_, now + k::kBusyLookMs}));
   if (!barriers_.empty() && !barrier_in_flight_) at = std::min(at, std::max(next_barrier_, now));
-  if (loaded_ && !watching_) at = std::min(at, std::max(watch_at_, now));
+  if (watches() && !watching_) at = std::min(at, std::max(watch_at_, now));
   return at;
 }
 
@@ -378,7 +393,7 @@
     }
   }
   for (auto& t : refused) t.done(now, Committed::refused, {});
-  if (down || !loaded_ || now < paused_until_) return;
+  if (down || !loaded() || now < paused_until_) return;
 
   const double rate = share(settings_.state_write_rps);
   write_tokens_ =
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -49,8 +49,9 @@
   void tick(Ms now);
   // When tick() should be called next at the latest.
   Ms next_tick(Ms now) const;
-  // True once every record has been read and the watch runs.
-  bool loaded() const { return loaded_; }
+  // True once every record has been read and the watch has passed all that was read: before that,
+  // the replica is a mixture of the moments at which its pages were read.
+  bool loaded() const { return load_ == Load::complete; }
   // True while the service answers.
   bool answering(Ms now) const;
   // Nothing at all comes from the service, not even a refusal.
@@ -99,7 +100,12 @@
     Barrier barrier;
   };
 
+  void begin_load(Ms now);
   void load_next(Ms now);
+  void on_pages_read(Ms now);
+  void complete_load();
+  // The watch may be open: it starts where the first page was read.
+  bool watches() const { return load_ == Load::catching_up || load_ == Load::complete; }
   void open_watch(Ms now);
   void on_watch(Ms now, std::uint64_t generation, std::uint64_t pauses, const Outcome& outcome);
   void flush(Ms now);
@@ -132,11 +138,18 @@
   std::unordered_map<std::string, std::uint64_t> versions_;
   std::unordered_map<std::string, std::uint64_t> removed_;  // key -> revision, until watched past
 
-  bool loaded_ = false;
-  bool loading_ = false;
+  // Reading every record, at the start and whenever the watch has fallen too far behind.
+  enum class Load : std::uint8_t {
+    none,         // to be begun
+    reading,      // page after page
+    catching_up,  // all pages are read; the watch has not passed the newest of them
+    complete
+  };
+  Load load_ = Load::none;
   std::size_t load_prefix_ = 0;
   std::string load_after_;
   std::uint64_t load_revision_ = 0;  // of the first page read
+  std::uint64_t load_newest_ = 0;    // of all pages
   bool load_revision_known_ = false;
   std::set<std::string> load_seen_;
   Ms load_retry_at_ = 0;
