A start is noted with the token of the message that carries it

Cause: when a message had a start and, for another task that is not wanted and not listed, a raised token as well, the token was raised after the start had been noted. A machine that showed the raised token, heard through another message, then counted as proof that the start cannot be carried out any more, though it is on its way under just that token. Its user was told of the cancellation, and it started (slow links, answers to reports 0.8 s late). Change: the token is raised before any start of the message is noted. Alone.AStartOnItsWayCarriesALowerTokenThanTheProofThatItIsGone failed before and passes.

--- a/src/core/commands.cpp
+++ b/src/core/commands.cpp
@@ -74,10 +74,10 @@
       memory -= spec.memory_gb;
     }
   }
-  if (clears && token(m) <= m.start_token) {
-    // A copy of a start for what is cleared may still be on its way; the new token refuses it.
-    ++m.fence;
-  }
+  // A copy of a start for what is cleared may still be on its way; the new token refuses it. A
+  // recorded task that is not wanted and not listed: a higher token settles whether it can still
+  // start. Both before any start of this message is noted with the token that carries it.
+  if ((clears || absence_open(m)) && token(m) <= m.start_token) ++m.fence;
   // What is recorded and not listed. Nothing is started while the state service is silent.
   if (can_write(now) && m.sequence > 0) {
     for (const TaskRef& ref : replica_.placed_on(m.id)) {
@@ -105,9 +105,6 @@
       m.unseen_starts[task] = token(m);
     }
   }
-  // A recorded task that is not wanted and not listed: a higher token settles whether it can still
-  // start.
-  if (absence_open(m) && token(m) <= m.start_token) ++m.fence;
   return out;
 }
 
