--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -31,6 +31,37 @@
   trouble(static_cast<Trouble>(random(static_cast<int>(options_.mix_before))), n, lasts);
 }
 
+void World::hang(Worker& w, Ms lasts) {
+  w.hanging = true;
+  w.reporting = false;
+  at(now_ + lasts, [this, id = w.id] { workers_.at(id)->hanging = false; });
+}
+
+// Users cancel many jobs that run and have long to go; most of their machines hang.
+void World::cancel_running(Ms lasts) {
+  constexpr std::size_t kMostJobs = 20, kMostMachines = 8;
+  constexpr double kLongMs = 3000;
+  std::set<std::string> jobs;
+  std::vector<Worker*> machines;
+  for (auto& [id, w] : workers_) {
+    if (!w->up || w->dead) continue;
+    bool concerned = false;
+    for (const auto& [task, t] : w->tasks) {
+      const UserJob& j = jobs_.at(task.job);
+      if (!t.present || !j.accepted || j.work_ms - t.work_ms < kLongMs || jobs.size() >= kMostJobs)
+        continue;
+      concerned = jobs.insert(task.job).second || concerned;
+    }
+    if (concerned && machines.size() < kMostMachines) machines.push_back(w.get());
+  }
+  for (const auto& id : jobs) at(now_ + random(200), [this, id] { cancel(id, 0); });
+  for (Worker* w : machines) {
+    if (!chance(0.7)) continue;
+    ++result_.cancelled_hanging;
+    hang(*w, lasts);
+  }
+}
+
 void World::trouble(Trouble kind, std::size_t n, Ms lasts) {
   if (calm_) return;
   auto machine = [this]() -> Worker* {
@@ -39,11 +70,6 @@
       if (w->up && !w->dead) up.push_back(w.get());
     return up.empty() ? nullptr : up[static_cast<std::size_t>(random(static_cast<int>(up.size())))];
   };
-  auto hang = [this, lasts](Worker& w) {
-    w.hanging = true;
-    w.reporting = false;
-    at(now_ + lasts, [this, id = w.id] { workers_.at(id)->hanging = false; });
-  };
   trace("trouble " + std::to_string(static_cast<int>(kind)) + " node " + std::to_string(n) +
         " for " + std::to_string(lasts));
   switch (kind) {
@@ -133,7 +159,7 @@
       late_copies_until_ = now_ + lasts;
       break;
     case Trouble::machine_hangs:
-      if (Worker* w = machine()) hang(*w);
+      if (Worker* w = machine()) hang(*w, lasts);
       break;
     case Trouble::machine_mute:
       if (Worker* w = machine(); w && w->mute_since == 0) {
@@ -148,28 +174,9 @@
       links_slow_ = true;
       at(now_ + lasts, [this] { links_slow_ = false; });
       break;
-    case Trouble::cancel_now: {
-      std::set<std::string> jobs;
-      std::vector<Worker*> machines;
-      for (auto& [id, w] : workers_) {
-        if (!w->up || w->dead) continue;
-        bool concerned = false;
-        for (const auto& [task, t] : w->tasks) {
-          const UserJob& j = jobs_.at(task.job);
-          if (!t.present || !j.accepted || j.work_ms - t.work_ms < 3000 || jobs.size() >= 20)
-            continue;
-          concerned = jobs.insert(task.job).second || concerned;
-        }
-        if (concerned && machines.size() < 8) machines.push_back(w.get());
-      }
-      for (const auto& id : jobs) at(now_ + random(200), [this, id] { cancel(id, 0); });
-      for (Worker* w : machines) {
-        if (!chance(0.7)) continue;
-        ++result_.cancelled_hanging;
-        hang(*w);
-      }
+    case Trouble::cancel_now:
+      cancel_running(lasts);
       break;
-    }
     case Trouble::cancel_at_end:
       cancel_at_end_until_ = now_ + lasts;
       break;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -257,6 +257,8 @@
   void check_services();
 
   void machine_dies(Worker& w);
+  void hang(Worker& w, Ms lasts);
+  void cancel_running(Ms lasts);
   void trouble();
   void trouble(Trouble kind, std::size_t node, Ms lasts);
   void probe_health();
