--- a/review/stand-ins/cluster.h
+++ b/review/stand-ins/cluster.h
@@ -450,7 +450,7 @@
   struct Task {
     std::uint64_t attempt = 0;
     std::string status = "fetching", cause;
-    bool saved = false;
+    bool saved = false, fails = false;
     Ms image_at = 0, gathers_at = 0, ends_at = 0, exits_at = 0, lost_peer_at = 0;
     bool on_machine() const {
       return status == "gathering" || status == "running" || status == "saving";
@@ -468,6 +468,7 @@
   bool spot = false, up = false, dead = false, hung = false;
   bool mute = false;   // its reports reach no controller
   bool deaf = false;   // answers and direct commands to it are lost
+  bool sick = false;       // every task that it starts fails
   bool held_back = false;  // as deaf, but direct commands are delivered in order afterwards
   std::optional<double> warning_s;
   std::map<std::string, Task> tasks;
@@ -803,6 +804,73 @@
     return sum;
   }
 
+  // A task has completed. If a task of a gang has, all have.
+  void on_done(const std::string& name) {
+    Truth& job = jobs[name.substr(0, name.find('/'))];
+    job.done.insert(static_cast<unsigned>(std::stoul(name.substr(name.find('/') + 1))));
+    for (unsigned task = 0; job.spec.shape == "ensemble" && task < job.spec.tasks; ++task)
+      job.done.insert(task);
+  }
+
+  // Number of further tasks of the job that the machine has room for.
+  unsigned room_for(const JobSpec& spec, const Worker& worker) const {
+    if (!worker.up || worker.hung || worker.warning_s || worker.sick ||
+        (!spec.zone.empty() && spec.zone != worker.zone) || (worker.spot && !spec.spot))
+      return 0;
+    double free = settings.machine_cpus, free_gb = settings.machine_gb;
+    for (const auto& [name, task] : worker.tasks) {
+      if (task.status == "exited") continue;
+      const auto& other = jobs.at(name.substr(0, name.find('/'))).spec;
+      free -= other.cpus;
+      free_gb -= other.memory;
+    }
+    return static_cast<unsigned>(
+        std::max(0.0, std::min((free + 1e-6) / spec.cpus, (free_gb + 1e-6) / spec.memory)));
+  }
+
+  // Updates since when each job has waited although machines that fit have room and its team is
+  // under its limit. To be called about once a second.
+  void watch_waiting() {
+    std::map<std::string, std::set<std::string>> present;  // tasks on machines, or being fetched
+    std::map<std::string, double> team_used;
+    for (const auto& [id, worker] : workers) {
+      if (!worker->up) continue;
+      for (const auto& [name, task] : worker->tasks) {
+        if (task.status == "exited") continue;
+        const std::string job = name.substr(0, name.find('/'));
+        present[job].insert(name);
+        team_used[jobs[job].spec.team] += jobs[job].spec.cpus;
+      }
+    }
+    for (auto& [id, job] : jobs) {
+      const JobSpec& spec = job.spec;
+      const bool gang = spec.shape == "ensemble";
+      const bool waits = job.accepted != 0 && job.asked_cancel == 0 && job.told_done == 0 &&
+                         (gang ? present[id].empty() && job.done.empty()
+                               : present[id].size() + job.done.size() < spec.tasks);
+      const double wanted = spec.cpus * (gang ? spec.tasks : 1);
+      const auto team = std::find_if(settings.teams.begin(), settings.teams.end(),
+                                     [&](const Team& t) { return t.name == spec.team; });
+      const bool allowed = team == settings.teams.end() || team->cpus_max <= 0 ||
+                           team_used[spec.team] + wanted <= team->cpus_max + 1e-6;
+      std::map<std::string, unsigned> room;  // by zone; "": all
+      for (const auto& [machine, worker] : workers) {
+        const unsigned fit = room_for(spec, *worker);
+        room[worker->zone] += fit;
+        if (!spec.together) room[""] += fit;
+      }
+      const unsigned needed = gang ? spec.tasks : 1;
+      const bool fits = std::any_of(room.begin(), room.end(),
+                                    [&](const auto& zone) { return zone.second >= needed; });
+      if (!waits || !allowed || !fits) {
+        waiting_since[id] = 0;
+      } else if (waiting_since[id] == 0) {
+        waiting_since[id] = steady_ms();
+      }
+    }
+  }
+  std::map<std::string, Ms> waiting_since;  // 0: doesn't wait beside room
+
   // Called when a task has its image and begins to run.
   void on_started(Worker& on, const std::string& name) {
     ++task_starts;
@@ -1026,8 +1094,9 @@
     world_.record.line("gathers " + text);
   } else {
     task.status = "running";
-    task.ends_at = spec.shape == "daemon"
-                       ? now + 1'000'000
+    task.fails = sick;
+    task.ends_at = sick                      ? now + 200
+                   : spec.shape == "daemon" ? now + 1'000'000
                        : now + static_cast<Ms>(spec.run_s * 1000 * world_.uniform(0.9, 1.1));
     world_.record.line("runs " + text);
   }
@@ -1042,12 +1111,14 @@
   for (auto& [name, task] : tasks) {
     if (task.status == "fetching" && now >= task.image_at) {
       begin(name);
+    } else if (task.status == "running" && now >= task.ends_at && task.fails) {
+      exit_task(name, "error");
+      world_.record.line("error " + name + " try " + std::to_string(task.attempt) + " on " + id);
     } else if (task.status == "running" && now >= task.ends_at) {
       task.status = "exited";
       task.cause = "done";
       results.insert(name);
-      world_.jobs[name.substr(0, name.find('/'))].done.insert(
-          static_cast<unsigned>(std::stoul(name.substr(name.find('/') + 1))));
+      world_.on_done(name);
       changed_ = true;
       world_.record.line("done " + name + " try " + std::to_string(task.attempt) + " on " + id);
     } else if (task.status == "saving" && now >= task.exits_at) {
