review: a job isn't retried for 180 s on the only machine with room

Arrays leave out a machine on which one of their tasks failed for 180 s, also if it is the only one with room; the users' bound is 90 s. Case 3 shows it with one sick machine.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+exec "$(dirname "$0")/../run_case.sh" "$(dirname "$0")"
