--- a/review/stand-ins/cluster.h
+++ b/review/stand-ins/cluster.h
@@ -480,6 +480,8 @@
 
   std::string report();
   void note_change() { changed_ = true; }
+  // Whether its tasks as they are have been reported, and the report is answered.
+  bool has_reported() const { return !in_flight_ && !changed_; }
   void exit_task(const std::string& name, const std::string& cause) {
     tasks[name].status = "exited";
     tasks[name].cause = cause;
@@ -503,6 +505,8 @@
   Ms next_report_ = 0, last_report_ = 0, not_before_ = 0, token_change_at_ = 0;
   std::uint64_t generation_ = 0;
   std::vector<std::pair<std::uint64_t, HttpServer::Request>> held_;
+  std::function<void()> held_answer_;         // of the report that waits for it
+  std::uint64_t reports_without_answer_ = 0;  // counts answers that were lost or held back
 };
 
 // ---- controllers ----
@@ -1041,6 +1045,9 @@
     world_.record.line("held message reaches " + id + ": " + r.path + " " + r.body);
     answer_orders(request, r);
   }
+  if (!held_answer_) return;
+  ++reports_without_answer_;
+  std::exchange(held_answer_, nullptr)();
 }
 
 inline void Worker::expire_if_due() {
@@ -1163,39 +1170,44 @@
     });
     return;
   }
+  const auto on_answer = [this, sent, generation, next_node](int status,
+                                                             const std::string& answer) {
+    in_flight_ = false;
+    if (!up || hung) return;
+    Document document;
+    const bool parsed = !document.Parse(answer.c_str()).HasParseError() && document.IsObject();
+    if (status == 200 && parsed) {
+      expire_if_due();
+      if (generation != generation_) return;
+      if (execute(document, false)) last_answered_sent = std::max(last_answered_sent, sent);
+      return;
+    }
+    if (status == 421 && parsed && document.HasMember("dispatcher")) {
+      for (std::size_t i = 0; i < world_.controllers.size(); ++i) {
+        if (world_.controllers[i]->name != document["dispatcher"].GetString() || i == node)
+          continue;
+        node = i;
+        not_before_ = steady_ms() + static_cast<Ms>(world_.uniform(0, 500));
+        next_report_ = not_before_;
+        return;
+      }
+    }
+    next_node();
+  };
   world_.client.send(
       {world_.controllers[node]->bind, "POST", "/hello", body, 4000},
-      [this, sent, generation, next_node](int status, const std::string& answer) {
-        in_flight_ = false;
-        if (!up || hung) return;
-        if (deaf || held_back) {  // the answer is lost
-          in_flight_ = true;
-          world_.after(std::max<Ms>(0, sent + 4000 - steady_ms()), [this, next_node] {
-            in_flight_ = false;
-            next_node();
-          });
-          return;
-        }
-        Document document;
-        const bool parsed =
-            !document.Parse(answer.c_str()).HasParseError() && document.IsObject();
-        if (status == 200 && parsed) {
-          expire_if_due();
-          if (generation != generation_) return;
-          if (execute(document, false)) last_answered_sent = std::max(last_answered_sent, sent);
-          return;
-        }
-        if (status == 421 && parsed && document.HasMember("dispatcher")) {
-          for (std::size_t i = 0; i < world_.controllers.size(); ++i) {
-            if (world_.controllers[i]->name != document["dispatcher"].GetString() || i == node)
-              continue;
-            node = i;
-            not_before_ = steady_ms() + static_cast<Ms>(world_.uniform(0, 500));
-            next_report_ = not_before_;
-            return;
-          }
-        }
-        next_node();
+      [this, sent, on_answer, next_node](int status, const std::string& answer) {
+        if (!deaf && !held_back) return on_answer(status, answer);
+        // The answer is lost or held back; after 4 s the worker drops it.
+        held_answer_ = [on_answer, status, answer] { on_answer(status, answer); };
+        if (deaf) held_answer_ = nullptr;
+        const std::uint64_t report = ++reports_without_answer_;
+        world_.after(std::max<Ms>(0, sent + 4000 - steady_ms()), [this, report, next_node] {
+          if (report != reports_without_answer_) return;
+          held_answer_ = nullptr;
+          in_flight_ = false;
+          next_node();
+        });
       });
 }
 
