--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -140,5 +140,5 @@
                     std::to_string(world.violations.size()));
   for (auto& controller : world.controllers) controller->end();
   if (starts == 0 || (scenario.trouble && !scenario.held)) return 2;
-  return world.violations.empty() ? 0 : 1;
+  return world.exit_code("ran_twice");
 }
--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -93,5 +93,5 @@
                     std::to_string(world.violations.size()));
   for (auto& controller : world.controllers) controller->end();
   if (truth.told_done == 0 && world.violations.empty()) return 2;
-  return world.violations.empty() ? 0 : 1;
+  return world.exit_code("waiting");
 }
--- a/review/stand-ins/cluster.h
+++ b/review/stand-ins/cluster.h
@@ -606,6 +606,16 @@
     return std::uniform_int_distribution<std::size_t>(0, n - 1)(random);
   }
 
+  // Exit code of a case: 1 if its rule was broken (violations that begin with `rule`), 2 if only
+  // another one was, so that the case says nothing about its own, otherwise 0.
+  int exit_code(const std::string& rule) const {
+    const bool broken = std::any_of(violations.begin(), violations.end(), [&rule](const auto& v) {
+      return v.starts_with(rule + ":");
+    });
+    if (broken) return 1;
+    return violations.empty() ? 0 : 2;
+  }
+
   void violation(const std::string& text) {
     violations.push_back(text);
     record.line("VIOLATION " + text);
