Log what proves that a task is gone

The debug line `released: T try N` didn't say why the attempt counted as gone. Now each release leaves `event=release` (or `event=done`) with the machine, the proof, the token that the machine has shown and that of a start that may still be in flight.

--- a/src/allocation/range_table.cpp
+++ b/src/allocation/range_table.cpp
@@ -2,8 +2,30 @@
 
 #include <algorithm>
 
+#include "base/log_event.h"
+
 namespace scheduler {
 
+namespace {
+
+std::string_view name_of(ReleaseProof proof) {
+  switch (proof) {
+    case ReleaseProof::exit_listed:
+      return "exit_listed";
+    case ReleaseProof::later_incarnation:
+      return "later_incarnation";
+    case ReleaseProof::token_above_start:
+      return "token_above_start";
+    case ReleaseProof::lease_expired:
+      return "lease_expired";
+    case ReleaseProof::machine_terminated:
+      break;
+  }
+  return "machine_terminated";
+}
+
+}  // namespace
+
 bool RangeState::is_unstarted(const wire::RangeRecord& range, std::uint32_t task) const {
   if (range.done[task - range.begin] || pending_placements.contains(task)) return false;
   const auto placement = range.placed.find(task);
@@ -27,16 +49,29 @@
   });
 }
 
-void RangeTable::release_task(const TaskRef& ref, std::uint64_t attempt, bool done) {
+void RangeTable::release_task(const TaskRef& ref, std::uint64_t attempt, bool done,
+                              const ReleaseEvidence& evidence) {
   ReleasedTask& released = ranges_[ref.range].released[ref.index];
   if (released.attempt == attempt && released.done) return;
   released = {attempt, done};
-  context_.log(LogLevel::debug, std::string(done ? "done: " : "released: ") +
-                                    wire::task_name(ref.range.job, ref.index) + " try " +
-                                    std::to_string(attempt));
+  log_release(ref, released, evidence);
   pass_trigger_.request();
 }
 
+void RangeTable::log_release(const TaskRef& ref, const ReleasedTask& released,
+                             const ReleaseEvidence& evidence) const {
+  if (!context_.logs_debug()) return;
+  const auto* placement = context_.replica.placement(ref);
+  LogEvent event(released.done ? "done" : "release");
+  event.field("task", wire::task_name(ref.range.job, ref.index));
+  event.field("attempt", released.attempt)
+      .field("machine", placement ? std::string_view(placement->machine) : "none");
+  event.field("proof", name_of(evidence.proof))
+      .field("token", evidence.reported_token)
+      .field("start_token", evidence.start_token);
+  context_.log(LogLevel::debug, event.text());
+}
+
 bool RangeTable::is_released(const TaskRef& ref, std::uint64_t attempt) const {
   const auto range = ranges_.find(ref.range);
   if (range == ranges_.end()) return false;
--- a/src/allocation/range_table.h
+++ b/src/allocation/range_table.h
@@ -15,6 +15,23 @@
 
 namespace scheduler {
 
+// What proves that an attempt of a task is gone from its machine and can't start there any more.
+enum class ReleaseProof : std::uint8_t {
+  exit_listed,         // the machine lists the attempt as exited
+  later_incarnation,   // the machine's agent has moved to an incarnation after the placement's
+  token_above_start,   // not listed under a token above that of every start sent for the attempt
+  lease_expired,       // the machine's lease has expired
+  machine_terminated,  // the cloud has confirmed that the machine is gone
+};
+
+// The proof that releases a task, with the tokens that it rests on. The tokens are 0 for proofs
+// that rest on none.
+struct ReleaseEvidence {
+  ReleaseProof proof = ReleaseProof::exit_listed;
+  std::uint64_t reported_token = 0;  // highest token that the machine has reported
+  std::uint64_t start_token = 0;     // of the last start that may be in flight; 0: none
+};
+
 // A task that has provably ended on its machine.
 struct ReleasedTask {
   std::uint64_t attempt = 0;
@@ -64,7 +81,8 @@
 
   // Records in memory that the attempt has provably ended on its machine; `done`: it completed
   // successfully.
-  void release_task(const TaskRef& ref, std::uint64_t attempt, bool done);
+  void release_task(const TaskRef& ref, std::uint64_t attempt, bool done,
+                    const ReleaseEvidence& evidence);
   [[nodiscard]] bool is_released(const TaskRef& ref, std::uint64_t attempt) const;
   // Discards unrecorded releases of tasks on the machine, whose new owner must prove them again.
   // Guards against a controller that returns from a partition and releases tasks because, by its
@@ -77,6 +95,9 @@
   [[nodiscard]] std::size_t writes_in_flight() const;
 
  private:
+  void log_release(const TaskRef& ref, const ReleasedTask& released,
+                   const ReleaseEvidence& evidence) const;
+
   const Context& context_;
   PassTrigger& pass_trigger_;
   Map ranges_;
--- a/src/workers/machine_monitor.cpp
+++ b/src/workers/machine_monitor.cpp
@@ -193,10 +193,12 @@
   // machine's lease.
   if (!terminated && !(context_.can_write(now) && lease_expired(now, machine))) return false;
   // All tasks of the machine are gone, and a start still in flight names an older incarnation.
+  const ReleaseEvidence evidence{terminated ? ReleaseProof::machine_terminated
+                                            : ReleaseProof::lease_expired};
   for (const TaskRef& ref : context_.replica.placed_on(machine.id)) {
     const auto* placement = context_.replica.placement(ref);
     if (placement && (terminated || placement->incarnation <= machine.incarnation))
-      ranges_.release_task(ref, placement->attempt, false);
+      ranges_.release_task(ref, placement->attempt, false, evidence);
   }
   machine.tasks.clear();
   machine.candidate_valid = false;
--- a/src/workers/reconciler.cpp
+++ b/src/workers/reconciler.cpp
@@ -20,7 +20,7 @@
     if (!placement) continue;
     const wire::TaskId task{ref.range.job, ref.index};
     if (placement->incarnation < machine.incarnation) {
-      ranges_.release_task(ref, placement->attempt, false);
+      ranges_.release_task(ref, placement->attempt, false, {ReleaseProof::later_incarnation});
       continue;
     }
     auto reported = machine.tasks.find(task);
@@ -36,7 +36,9 @@
       // The worker rejects a start still in flight, because that carries a lower token.
       machine.unconfirmed_starts.erase(task);
       machine.stop_requests.erase(task);
-      ranges_.release_task(ref, placement->attempt, false);
+      ranges_.release_task(
+          ref, placement->attempt, false,
+          {ReleaseProof::token_above_start, machine.highest_token_seen, sent_token});
     }
   }
 }
@@ -84,7 +86,8 @@
   const Job* job = context_.replica.job(ref.range.job);
   const bool service = job && job->record.spec.is_service();
   // A service never completes: a replica that reports completion has ended like any other.
-  ranges_.release_task(ref, reported.attempt, reported.cause == wire::ExitCause::done && !service);
+  ranges_.release_task(ref, reported.attempt, reported.cause == wire::ExitCause::done && !service,
+                       {ReleaseProof::exit_listed, machine.highest_token_seen});
   machine.stop_requests.erase({ref.range.job, ref.index});
   if (service) on_replica_end(now, machine, ref, reported);
   switch (reported.cause) {
