Simulation: messages to a machine that restarts a task are held back

The fake worker now lists the former, exited attempts of a task beside the present one until they are cleared, and refuses a second attempt of a task that it has with `busy`, both as PROTOCOL says. Until now it forgot the former attempt and ignored the second one.

--- a/tests/sim/cluster_members.h
+++ b/tests/sim/cluster_members.h
@@ -105,7 +105,13 @@
   std::uint64_t heartbeat_number = 0;    // number of the last heartbeat sent
   std::size_t controller_index = 0;      // the controller to which the worker sends its heartbeats
   Ms preempted_at = 0;  // preemption time given by the preemption notice; 0: no notice
-  std::map<wire::TaskId, Task> tasks;
+  // Messages from controllers are held back and delivered in order when this ends.
+  bool incoming_held = false;
+  std::vector<std::function<void()>> held_commands;
+  std::map<wire::TaskId, Task> tasks;  // the newest accepted attempt of each task
+  // Exited attempts of tasks that have another attempt in `tasks`. They are listed until a command
+  // clears them.
+  std::map<std::pair<wire::TaskId, std::uint64_t>, Task> other_attempts;
   std::set<wire::TaskId> completed_replicas;  // replicas that exited as done on this worker: a
                                               // further attempt exits as done immediately
 };
--- a/tests/sim/fault.h
+++ b/tests/sim/fault.h
@@ -52,6 +52,10 @@
   watch_lags,        // replies to watches are up to 500 ms late, other replies are not
   replies_lost,      // one transaction in twenty is executed, but its reply is lost
   concurrent_reads,  // users read jobs at all controllers at once, and cancel most new jobs
+  // A machine that gets a new attempt of a task that it has had before receives nothing for some
+  // seconds, then all of it in order. Meanwhile the job is cancelled, or another of its machines is
+  // preempted.
+  restarts_held,
   count
 };
 
--- a/tests/sim/faults.cpp
+++ b/tests/sim/faults.cpp
@@ -58,6 +58,7 @@
       {Fault::spot_wave, &Self::preempt_spot_machines},
       {Fault::duplicate_heartbeats, &Self::set_until<&Self::duplicate_heartbeats_until_>},
       {Fault::heartbeats_delayed, &Self::set_until<&Self::heartbeats_delayed_until_>},
+      {Fault::restarts_held, &Self::set_until<&Self::restarts_held_until_>},
       // Users
       {Fault::job_burst, &Self::submit_burst},
       {Fault::cancel_now, &Self::cancel_running},
@@ -262,6 +263,53 @@
                  [this, id = w->id] { workers_.at(id)->unreachable_since = 0; });
 }
 
+bool SimulatedCluster::restarts_task(const SimulatedWorker& w, const wire::Json& command) {
+  const auto task = wire::parse_task_name(command["load"].GetString());
+  if (!task || std::string(command["verb"].GetString()) != "start") return false;
+  const auto former = w.tasks.find(*task);
+  return former != w.tasks.end() && former->second.state == TaskState::exited &&
+         former->second.attempt < command["try"].GetUint64();
+}
+
+void SimulatedCluster::hold_restart(SimulatedWorker& w, const wire::Json& message) {
+  if (w.incoming_held || w.preempted_at) return;
+  if (message["baton"].GetUint64() < w.token || message["shift"].GetUint64() != w.incarnation)
+    return;
+  const auto array = message["orders"].GetArray();
+  const auto* restart = std::find_if(
+      array.begin(), array.end(), [&w](const auto& command) { return restarts_task(w, command); });
+  if (restart == array.end()) return;
+  ++result_.restarts_held;
+  w.incoming_held = true;
+  trace(w.id + " receives nothing");
+  const std::string job = wire::parse_task_name((*restart)["load"].GetString())->job;
+  schedule_event(now_ + 200 + random(600), [this, job, id = w.id] {
+    if (!recovering_) stop_job_elsewhere(job, id);
+  });
+  schedule_event(now_ + 4000 + random(6000), [this, id = w.id] {
+    SimulatedWorker& released = *workers_.at(id);
+    released.incoming_held = false;
+    for (const auto& deliver : std::exchange(released.held_commands, {})) deliver();
+  });
+}
+
+void SimulatedCluster::stop_job_elsewhere(const std::string& job, const std::string& held_machine) {
+  if (chance(0.3)) {
+    cancel(job, 0);
+    return;
+  }
+  for (auto& [id, w] : workers_) {
+    const bool has_task = std::any_of(w->tasks.begin(), w->tasks.end(), [&job](const auto& task) {
+      return task.first.job == job && task.second.state != TaskState::exited;
+    });
+    if (id == held_machine || !has_task || w->dead || w->preempted_at) continue;
+    w->preempted_at = now_ + 2000 + random(3000);
+    w->changed_since_heartbeat = true;
+    w->next_heartbeat_at = std::min(w->next_heartbeat_at, now_ + 250);
+    return;
+  }
+}
+
 void SimulatedCluster::lose_heartbeats(std::size_t /*controller_index*/, Ms duration_ms) {
   SimulatedWorker* w = random_running_machine();
   if (!w || w->heartbeats_lost_since != 0) return;
--- a/tests/sim/machines.cpp
+++ b/tests/sim/machines.cpp
@@ -49,6 +49,7 @@
   for (const auto& [task, t] : w.tasks)
     if (t.active) history_.add(now_, history::TaskEnded{task, w.id, false});
   w.tasks.clear();
+  w.other_attempts.clear();
 }
 
 void SimulatedCluster::tick_worker(const std::string& id, std::uint64_t agent_generation) {
@@ -81,7 +82,7 @@
   static const char* causes[] = {"",      "done",    "stopped", "peers",  "alone",
                                  "error", "no_room", "busy",    "no_such"};
   std::string list;
-  for (const auto& [task, t] : w.tasks) {
+  const auto add = [&list](const wire::TaskId& task, const SimulatedWorker::Task& t) {
     JsonObjectBuilder task_json;
     task_json.str("load", wire::task_name(task.job, task.index));
     task_json.num("try", t.attempt);
@@ -89,7 +90,9 @@
     if (t.state == TaskState::exited) task_json.str("cause", causes[static_cast<int>(t.cause)]);
     if (t.saved) task_json.raw("saved", "true");
     list += (list.empty() ? "" : ",") + task_json.done();
-  }
+  };
+  for (const auto& [task, t] : w.tasks) add(task, t);
+  for (const auto& [attempt, t] : w.other_attempts) add(attempt.first, t);
   p.raw("loads", "[" + list + "]");
   return p.done();
 }
@@ -131,7 +134,7 @@
   if (w.dead || heartbeat.number != w.heartbeat_number || !w.heartbeat_in_flight) return;
   w.heartbeat_in_flight = false;
   if (w.hanging) return;
-  if (w.unreachable_since) status = 0;
+  if (w.unreachable_since || w.incoming_held) status = 0;
   const Ms interval = to_ms(options_.heartbeat_interval_s);
   w.next_heartbeat_at =
       now_ +
--- a/tests/sim/network.cpp
+++ b/tests/sim/network.cpp
@@ -210,24 +210,34 @@
                                            const Respond& respond) {
   SimulatedWorker* w = worker_at(call.address);
   if (!w || !w->up || w->dead || w->unreachable_since) return;
-  if (w->hanging) {  // retried until the machine resumes
+  rapidjson::Document doc;
+  if (now_ < restarts_held_until_ && wire::parse_object(call.body, doc)) hold_restart(*w, doc);
+  if (!w->incoming_held) return deliver_to_worker(*w, call, from, respond);
+  w->held_commands.emplace_back([this, w, call, from, respond] {
+    if (w->up && !w->dead) deliver_to_worker(*w, call, from, respond);
+  });
+}
+
+void SimulatedCluster::deliver_to_worker(SimulatedWorker& w, const Call& call, std::size_t from,
+                                         const Respond& respond) {
+  if (w.hanging) {  // retried until the machine resumes
     ++result_.late_commands;
     schedule_event(now_ + 500, [this, call, from, respond] { execute(call, from, respond); });
     return;
   }
-  expire_worker_lease(*w);
-  if (call.path == "/status") return respond(200, heartbeat_body(*w));
+  expire_worker_lease(w);
+  if (call.path == "/status") return respond(200, heartbeat_body(w));
   rapidjson::Document doc;
   if (!wire::parse_object(call.body, doc)) return respond(400, "{}");
   const std::uint64_t token = doc["baton"].GetUint64();
   const bool same_incarnation =
-      doc["shift"].GetUint64() == w->incarnation || options_.workers_ignore_incarnations;
-  if ((token < w->token && !options_.workers_ignore_tokens) || !same_incarnation)
-    return respond(409, heartbeat_body(*w));
-  w->token = std::max(w->token, token);
-  record_contact(*w);
-  execute_commands(*w, doc["orders"]);
-  respond(200, heartbeat_body(*w));
+      doc["shift"].GetUint64() == w.incarnation || options_.workers_ignore_incarnations;
+  if ((token < w.token && !options_.workers_ignore_tokens) || !same_incarnation)
+    return respond(409, heartbeat_body(w));
+  w.token = std::max(w.token, token);
+  record_contact(w);
+  execute_commands(w, doc["orders"]);
+  respond(200, heartbeat_body(w));
 }
 
 // ---- requests of workers and users ----
--- a/tests/sim/result.h
+++ b/tests/sim/result.h
@@ -86,6 +86,7 @@
   int starts_on_unreachable = 0;  // start commands on machines unreachable for more than 8 s
   // Attempts to deliver a command to a hanging machine; each is retried 500 ms later.
   int late_commands = 0;
+  int restarts_held = 0;  // machines that received nothing while a task was to restart on them
   int hangs_during_cancellation = 0;  // machines that hang while their jobs are cancelled
   int concurrent_reads = 0;   // replies after which users read the job at all controllers at once
   int reads_at_isolated = 0;  // users' requests to which an isolated controller replied
--- a/tests/sim/simulated_cluster.h
+++ b/tests/sim/simulated_cluster.h
@@ -120,6 +120,8 @@
   void execute(const Call& call, std::size_t from, const Respond& respond);
   void execute_state_call(const Call& call, std::size_t from, const Respond& respond);
   void execute_worker_call(const Call& call, std::size_t from, const Respond& respond);
+  void deliver_to_worker(SimulatedWorker& w, const Call& call, std::size_t from,
+                         const Respond& respond);
   // `from_zone`: zone of the sending worker; "": a user sends the request.
   void send_to_controller(std::size_t i, const Request& request, const std::string& from_zone,
                           Respond respond);
@@ -273,6 +275,12 @@
   void restart_machine(std::size_t controller_index, Ms duration_ms);
   void make_machine_unreachable(std::size_t controller_index, Ms duration_ms);
   void lose_heartbeats(std::size_t controller_index, Ms duration_ms);
+  // Whether the command starts a task of which the machine lists an earlier, exited attempt.
+  static bool restarts_task(const SimulatedWorker& w, const wire::Json& command);
+  // Begins to hold back the messages to the machine if this direct message restarts a task on it.
+  void hold_restart(SimulatedWorker& w, const wire::Json& message);
+  // Cancels the job, or preempts a machine with a task of it, other than the given one.
+  void stop_job_elsewhere(const std::string& job, const std::string& held_machine);
   void make_machine_fail_tasks(std::size_t controller_index, Ms duration_ms);
   void give_preemption_notice(std::size_t controller_index, Ms duration_ms);
   void preempt_spot_machines(std::size_t controller_index, Ms duration_ms);
@@ -326,7 +334,7 @@
   int state_delay_factor_ = 1;  // factor of the delays to and from the state service
   Ms duplicate_heartbeats_until_ = 0, heartbeats_delayed_until_ = 0;
   Ms late_writes_until_ = 0, state_reorders_until_ = 0, watch_lags_until_ = 0;
-  Ms replies_lost_until_ = 0;
+  Ms replies_lost_until_ = 0, restarts_held_until_ = 0;
   Ms concurrent_reads_until_ = 0, cancel_at_end_until_ = 0;
 
   // ---- observations ----
--- a/tests/sim/tasks.cpp
+++ b/tests/sim/tasks.cpp
@@ -24,9 +24,9 @@
     const auto found = w.tasks.find(task);
     const bool has_attempt = found != w.tasks.end() && found->second.attempt == attempt;
     if (verb == "start") {
-      if (!has_attempt) start_task(w, task, attempt);
+      if (!has_attempt && !w.other_attempts.contains({task, attempt})) start_task(w, task, attempt);
     } else if (!has_attempt) {
-      continue;
+      if (verb == "clear") w.other_attempts.erase({task, attempt});
     } else if (verb == "clear") {
       if (found->second.state == TaskState::exited) w.tasks.erase(found);
     } else {
@@ -41,13 +41,18 @@
   ++result_.starts;
   if (w.heartbeats_lost_since) ++result_.starts_without_heartbeats;
   if (w.unreachable_since && now_ - w.unreachable_since > 8000) ++result_.starts_on_unreachable;
-  // The fake worker keeps one attempt of each task: it ignores another attempt until the first has
-  // exited.
-  const auto found = w.tasks.find(task);
-  if (found != w.tasks.end() && found->second.state != TaskState::exited) return;
+  w.changed_since_heartbeat = true;
   SimulatedWorker::Task t;
   t.attempt = attempt;
   t.state_since = now_;
+  const auto found = w.tasks.find(task);
+  if (found != w.tasks.end() && found->second.state != TaskState::exited) {
+    t.state = TaskState::exited;
+    t.cause = ExitCause::busy;
+    w.other_attempts[{task, attempt}] = t;
+    return;
+  }
+  if (found != w.tasks.end()) w.other_attempts[{task, found->second.attempt}] = found->second;
   const auto job = jobs_.find(task.job);
   if (job == jobs_.end()) {
     t.state = TaskState::exited;
@@ -60,7 +65,6 @@
   }
   w.tasks[task] = t;
   started_on_[task].insert(w.id);
-  w.changed_since_heartbeat = true;
 }
 
 double SimulatedCluster::cpus_in_use(const SimulatedWorker& w) const {
