A start under way is remembered by attempt

Cause: `Machine::unconfirmed_starts` was kept by task. A heartbeat that listed the exit of the task's former attempt removed the note of the new attempt's start, which was held back on its way. The next reconciliation of a task that must not run then found no start under way and took any token of the owner for proof.

Ruled out: that the machine had shown a higher token and executed the start all the same (it had shown ...48), and a release by incarnation, lease or exit (another proof would be logged).

Change: the note is kept by attempt (`TaskAttempt`).

Tests, seen to fail before: SingleControllerTest.HeldStartOfANewAttemptDelaysTheConfirmation (status 200 instead of 503 while the start is held) and Workers/ConcurrentFaults.*/RestartsHeldWhileTheirJobStops. WorkersTest.ExitOfTheFormerAttemptConfirmsNoStart states the rule at the component; its note names an attempt, so that it can't be built on the former code.

--- a/src/workers/command_dispatcher.cpp
+++ b/src/workers/command_dispatcher.cpp
@@ -120,7 +120,7 @@
     plan.commands.push_back({wire::CommandKind::start, task, placement->attempt, 0});
     log_command(machine, plan.commands.back(), placement, "placed");
     machine.start_token = machines_.token(machine);
-    machine.unconfirmed_starts[task] = machines_.token(machine);
+    machine.unconfirmed_starts[{task, placement->attempt}] = machine.start_token;
   }
 }
 
--- a/src/workers/heartbeat_applier.cpp
+++ b/src/workers/heartbeat_applier.cpp
@@ -44,7 +44,7 @@
         });
     if (!placement || listed) continue;
     machine.stop_requests[task] = {placement->attempt, 0.0};
-    machine.unconfirmed_starts[task] = machine.start_token;
+    machine.unconfirmed_starts[{task, placement->attempt}] = machine.start_token;
   }
 }
 
@@ -123,7 +123,7 @@
     if (listed.state == wire::TaskState::exited && same_attempt)
       task.running_since = previous->second.running_since;
     add_image(machine, listed);
-    machine.unconfirmed_starts.erase(listed.task);
+    machine.unconfirmed_starts.erase({listed.task, listed.attempt});
     // A heartbeat may list a task twice: an exited attempt and its successor.
     const auto [entry, inserted] = tasks.emplace(listed.task, task);
     if (!inserted && entry->second.state == wire::TaskState::exited) entry->second = task;
@@ -148,6 +148,10 @@
                  record->address != machine.address))
     shard_records_.record_machine_state(now, machine, machine.state, kContactWriteDelayMs);
   reconciler_.reconcile(now, machine);
+  // The worker rejects a start that it has not received before it reported a higher token.
+  std::erase_if(machine.unconfirmed_starts, [&machine](const auto& start) {
+    return start.second < machine.highest_token_seen;
+  });
   // Most heartbeats report no change and need no scheduling pass.
   if (changed) {
     machine.candidate_valid = false;
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -13,6 +13,13 @@
 
 namespace scheduler {
 
+// One attempt of a task. What is known of one attempt says nothing about another one.
+struct TaskAttempt {
+  wire::TaskId task;
+  std::uint64_t attempt = 0;
+  auto operator<=>(const TaskAttempt&) const = default;
+};
+
 // An attempt of a task as last reported by its machine.
 struct ReportedTask {
   std::uint64_t attempt = 0;
@@ -48,8 +55,9 @@
   std::uint64_t fence = 0;  // part of the token; raised so that the worker rejects older messages
   std::uint64_t highest_token_seen = 0;
   std::uint64_t start_token = 0;  // highest token sent with a start
-  // Starts that the machine has not listed yet, with the last token that each was sent under.
-  std::map<wire::TaskId, std::uint64_t> unconfirmed_starts;
+  // Starts that may still be in flight, with the last token that each was sent under: the machine
+  // has neither listed the attempt nor reported a higher token.
+  std::map<TaskAttempt, std::uint64_t> unconfirmed_starts;
 
   // ---- heartbeats ----
   std::uint64_t incarnation = 0, sequence = 0;
--- a/src/workers/reconciler.cpp
+++ b/src/workers/reconciler.cpp
@@ -30,11 +30,10 @@
       continue;
     }
     if (!machine.token_confirmed || !must_not_run(machine, ref, *placement)) continue;
-    auto start = machine.unconfirmed_starts.find(task);
+    auto start = machine.unconfirmed_starts.find({task, placement->attempt});
     const std::uint64_t sent_token = start == machine.unconfirmed_starts.end() ? 0 : start->second;
     if (machine.highest_token_seen > sent_token) {
       // The worker rejects a start still in flight, because that carries a lower token.
-      machine.unconfirmed_starts.erase(task);
       machine.stop_requests.erase(task);
       ranges_.release_task(
           ref, placement->attempt, false,
--- a/tests/concurrent_faults_workers_test.cpp
+++ b/tests/concurrent_faults_workers_test.cpp
@@ -48,6 +48,21 @@
        if (seed % 2 == 0) add_periodic_faults(o, Fault::slow_links, 20'000, 25'000, 15'000);
      },
      [](const Result& r) { return r.late_commands; }, 20},
+    // HeartbeatApplier::apply_tasks: a start stays unconfirmed until its own attempt is listed. The
+    // machine still lists the attempt before it, which has exited.
+    {"RestartsHeldWhileTheirJobStops", 4,
+     [](Options& o, std::uint64_t seed) {
+       o.machines = 6;
+       o.heartbeat_interval_s = 3;
+       o.lease_s = 20;
+       o.cancel_s = 40;
+       o.gang_tenths = 8;
+       o.failing_jobs = 0;
+       o.planned_faults.push_back({5'000, Fault::restarts_held, 0, 85'000});
+       add_periodic_faults(o, Fault::machine_hangs, 6'000, 2'500, 2'500);
+       if (seed % 2 == 0) add_periodic_faults(o, Fault::preemption_notice, 9'000, 12'000, 0);
+     },
+     [](const Result& r) { return r.restarts_held; }, 10},
     // HeartbeatApplier::apply: rejects heartbeats that are older than the last one by incarnation
     // and sequence number.
     {"StaleHeartbeatsAfterNewer", 4,
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -182,6 +182,33 @@
 
 // A heartbeat that was delayed until the machine has a new owner, and is the first one that this
 // owner receives, must not release a task: it does not contain the new owner's token.
+// Guards against a start after a confirmed cancellation: the machine still lists the exit of the
+// former attempt, because the message that starts the new one is held back on its way.
+TEST_F(SingleControllerTest, HeldStartOfANewAttemptDelaysTheConfirmation) {
+  start_two_tasks();
+  reachable_ = receives_replies_ = false;
+  for (auto& [attempt, exited] : tasks_) exited = true;
+  const int commands_before = direct_commands_;
+  heartbeat(sequence_ + 1);
+  run(500);  // both tasks are placed again, and their starts are sent
+  ASSERT_GT(direct_commands_, commands_before);
+  cancel("req-000001");
+  run(500);
+  heartbeat(sequence_ + 1);
+  run(500);
+  const std::uint64_t while_held = cancel("req-000001");
+  run(500);
+  EXPECT_EQ(status(while_held), 503);
+  // The machine receives a higher token, under which it rejects the held message, and reports it.
+  receives_replies_ = true;
+  heartbeat(sequence_ + 1);
+  heartbeat(sequence_ + 1);
+  run(500);
+  const std::uint64_t afterwards = cancel("req-000001");
+  run(500);
+  EXPECT_EQ(status(afterwards), 200);
+}
+
 TEST_F(SingleControllerTest, HeartbeatDelayedUntilANewOwnerActedReleasesNothing) {
   start_two_tasks();
   reachable_ = false;
--- a/tests/workers_test.cpp
+++ b/tests/workers_test.cpp
@@ -30,12 +30,7 @@
     fleet.machines[kMachine].zone = "a";
     put(wire::fleet_key(0), encode(fleet));
     record_job(false);
-    wire::RangeRecord range;
-    range.owner = kControllerName;
-    range.end = 1;
-    range.done.assign(1, false);
-    range.placed[0] = {1, kMachine, 1, kControllerName};
-    put(wire::range_key(kJob, 1), encode(range));
+    record_placement(1);
     run(kLoadMs, [](Ms) {});
     machine().incarnation = 1;
   }
@@ -53,6 +48,16 @@
     put(wire::job_key(kJob), encode(job));
   }
 
+  void record_placement(std::uint64_t attempt) {
+    wire::RangeRecord range;
+    range.owner = kControllerName;
+    range.end = 1;
+    range.done.assign(1, false);
+    range.placed[0] = {attempt, kMachine, 1, kControllerName};
+    range.next_attempt = attempt + 1;
+    put(wire::range_key(kJob, 1), encode(range));
+  }
+
   Machine& machine() { return machines_.add(now_, kMachine)->second; }
 
   // A heartbeat of the agent that lists no tasks.
@@ -68,7 +73,9 @@
     return heartbeat;
   }
 
-  bool is_released() const { return ranges_.is_released({{kJob, 1}, 0}, 1); }
+  bool is_released(std::uint64_t attempt = 1) const {
+    return ranges_.is_released({{kJob, 1}, 0}, attempt);
+  }
 
   std::uint64_t token_ = ClusterView::token(1, 0);  // reported by the agent
   PassTrigger pass_trigger_;
@@ -91,7 +98,7 @@
 TEST_F(WorkersTest, AbsentTaskIsReleasedOnlyUnderATokenAboveItsStart) {
   record_job(true);
   run(kLoadMs, [](Ms) {});
-  machine().unconfirmed_starts[{kJob, 0}] = token_;
+  machine().unconfirmed_starts[{{kJob, 0}, 1}] = token_;
   EXPECT_TRUE(applier_.apply(now_, machine(), heartbeat(1, 1)));
   EXPECT_FALSE(is_released()) << "the start may still be on its way";
   token_ = ClusterView::token(1, 1);
@@ -99,6 +106,34 @@
   EXPECT_TRUE(is_released());
 }
 
+// Guards against running a task twice: a report that still lists the exit of the former attempt was
+// sent before the start of the new one arrived, which it may do later.
+TEST_F(WorkersTest, ExitOfTheFormerAttemptConfirmsNoStart) {
+  record_job(true);
+  record_placement(2);
+  run(kLoadMs, [](Ms) {});
+  machine().unconfirmed_starts[{{kJob, 0}, 2}] = token_;
+  wire::Heartbeat former_exit = heartbeat(1, 1);
+  former_exit.tasks.push_back(
+      {{kJob, 0}, 1, wire::TaskState::exited, wire::ExitCause::stopped, false});
+  EXPECT_TRUE(applier_.apply(now_, machine(), former_exit));
+  EXPECT_FALSE(is_released(2)) << "the start of attempt 2 may still be on its way";
+  token_ = ClusterView::token(1, 1);
+  former_exit.sequence = 2;
+  former_exit.token = token_;
+  EXPECT_TRUE(applier_.apply(now_, machine(), former_exit));
+  EXPECT_TRUE(is_released(2));
+}
+
+TEST_F(WorkersTest, StartsBelowTheReportedTokenAreForgotten) {
+  machine().unconfirmed_starts[{{kJob, 0}, 1}] = token_;
+  applier_.apply(now_, machine(), heartbeat(1, 1));
+  EXPECT_EQ(machine().unconfirmed_starts.size(), 1U);
+  token_ = ClusterView::token(1, 1);
+  applier_.apply(now_, machine(), heartbeat(1, 2));
+  EXPECT_TRUE(machine().unconfirmed_starts.empty());
+}
+
 TEST_F(WorkersTest, AbsentTaskIsKeptUntilItsMachineHasShownATokenOfItsOwner) {
   record_job(true);
   run(kLoadMs, [](Ms) {});
