A former attempt proves nothing of the present one's absence

`Reconciler::has_unproven_absence` says whether a start in flight has to be outrun by a higher token. It took a listing of any attempt of the task, and a release of any attempt that was still in memory, for one of the placed attempt. Then the token isn't raised and no message sent for the sake of the task, and its release waits for another reason to do so: a heartbeat's reply that clears the former attempt. Nobody was seen to wait for it; the release is late, never wrong.

Both are compared by attempt now. WorkersTest.FormerAttemptProvesNothingOfThePresentOne failed before at both places.

--- a/src/workers/reconciler.cpp
+++ b/src/workers/reconciler.cpp
@@ -67,9 +67,10 @@
     if (!placement || placement->incarnation < machine.incarnation ||
         !must_not_run(machine, ref, *placement))
       return false;
-    if (machine.tasks.contains({ref.range.job, ref.index})) return false;
-    const auto work = ranges_.find(ref.range);
-    return work == ranges_.end() || !work->second.released.contains(ref.index);
+    const auto reported = machine.tasks.find({ref.range.job, ref.index});
+    const bool listed =
+        reported != machine.tasks.end() && reported->second.attempt == placement->attempt;
+    return !listed && !ranges_.is_released(ref, placement->attempt);
   });
 }
 
--- a/tests/workers_test.cpp
+++ b/tests/workers_test.cpp
@@ -125,6 +125,24 @@
   EXPECT_TRUE(is_released(2));
 }
 
+// Guards against a start that is never proven void, because what is known of a former attempt (its
+// exit, or its release that has been recorded) is taken for the present one.
+TEST_F(WorkersTest, FormerAttemptProvesNothingOfThePresentOne) {
+  ranges_.release_task({{kJob, 1}, 0}, 1, false, {ReleaseProof::exit_listed});
+  record_job(true);
+  record_placement(2);
+  run(kLoadMs, [](Ms) {});
+  machine().unconfirmed_starts[{{kJob, 0}, 2}] = token_;
+  EXPECT_TRUE(reconciler_.has_unproven_absence(machine()));
+  wire::Heartbeat former_exit = heartbeat(1, 1);
+  former_exit.tasks.push_back(
+      {{kJob, 0}, 1, wire::TaskState::exited, wire::ExitCause::stopped, false});
+  applier_.apply(now_, machine(), former_exit);
+  EXPECT_TRUE(reconciler_.has_unproven_absence(machine()));
+  ranges_.release_task({{kJob, 1}, 0}, 2, false, {ReleaseProof::lease_expired});
+  EXPECT_FALSE(reconciler_.has_unproven_absence(machine()));
+}
+
 TEST_F(WorkersTest, StartsBelowTheReportedTokenAreForgotten) {
   machine().unconfirmed_starts[{{kJob, 0}, 1}] = token_;
   applier_.apply(now_, machine(), heartbeat(1, 1));
