All attempts that a machine lists are kept

PROTOCOL lets a machine list several attempts of a task: exited ones until they are cleared. `Machine::tasks` kept one per task, and of two exited ones the one that was listed last. If that is the former one, the exit of the recorded attempt isn't seen: the task counts as not yet started and its start is sent again, until the former one is cleared. A former attempt beside a running one was never cleared before that one had ended.

Attempts are listed by `TaskAttempt` now, which also takes the comparisons of attempts out of all users. WorkersTest.ExitIsSeenBesideThatOfAnotherAttempt failed before.

--- a/src/scheduling/candidate_cache.cpp
+++ b/src/scheduling/candidate_cache.cpp
@@ -14,22 +14,21 @@
     const auto job = context_.replica.jobs().find(ref.range.job);
     if (!placement || job == context_.replica.jobs().end()) continue;
     const wire::TaskId task{ref.range.job, ref.index};
-    const auto reported = machine.tasks.find(task);
-    const bool listed =
-        reported != machine.tasks.end() && reported->second.attempt == placement->attempt;
-    if (listed && reported->second.state == wire::TaskState::exited) continue;
+    const ReportedTask* reported = machine.reported({task, placement->attempt});
+    if (reported && reported->state == wire::TaskState::exited) continue;
     if (ranges_.is_released(ref, placement->attempt)) continue;
     // A task that is being preempted counts as gone here; the tasks placed instead start only after
     // it has stopped.
     if (machine.stop_requested(task, placement->attempt)) continue;
     const wire::JobSpec& spec = job->second.record.spec;
-    const bool running = listed && reported->second.running_since != 0;
-    candidate.book(spec, predicted_end(running ? reported->second.running_since : now, spec));
+    const bool running = reported && reported->running_since != 0;
+    candidate.book(spec, predicted_end(running ? reported->running_since : now, spec));
   }
 }
 
 void CandidateCache::book_unrecorded(Ms now, const Machine& machine, Candidate& candidate) const {
-  for (const auto& [task, reported] : machine.tasks) {
+  for (const auto& [attempt, reported] : machine.tasks) {
+    const wire::TaskId& task = attempt.task;
     if (reported.state == wire::TaskState::exited) continue;
     const auto job = context_.replica.jobs().find(task.job);
     if (job == context_.replica.jobs().end()) continue;
--- a/src/scheduling/preemption.cpp
+++ b/src/scheduling/preemption.cpp
@@ -68,13 +68,13 @@
                                      exceeds_guarantee->second;
   if (!has_lower_priority && !uses_others_guarantee) return std::nullopt;
   const wire::TaskId task{ref.range.job, ref.index};
-  const auto reported = machine.tasks.find(task);
-  if (machine.stop_requests.contains(task) || reported == machine.tasks.end() ||
-      reported->second.attempt != placement->attempt ||
-      reported->second.state == wire::TaskState::exited ||
-      reported->second.state == wire::TaskState::checkpointing)
+  const TaskAttempt attempt{task, placement->attempt};
+  const ReportedTask* reported = machine.reported(attempt);
+  if (machine.stop_requests.contains(task) || !reported ||
+      reported->state == wire::TaskState::exited ||
+      reported->state == wire::TaskState::checkpointing)
     return std::nullopt;
-  const double ran_s = machine.run_time_s(now, task, placement->attempt);
+  const double ran_s = machine.run_time_s(now, attempt);
   // Standard work does not preempt a task that will end soon by itself: each such preemption costs
   // more than it gains (docs/design.md).
   if (request.spec.priority < wire::Priority::high &&
--- a/src/workers/command_dispatcher.cpp
+++ b/src/workers/command_dispatcher.cpp
@@ -24,25 +24,25 @@
 }  // namespace
 
 void CommandDispatcher::add_commands_for_listed(const Machine& machine, CommandPlan& plan) const {
-  for (const auto& [task, reported] : machine.tasks) {
+  for (const auto& [attempt, reported] : machine.tasks) {
     if (plan.commands.size() >= kMaxCommandsPerMessage) break;
-    const ListedTask listed = find_listed(machine, task, reported);
+    const ListedTask listed = find_listed(machine, attempt);
     if (reported.state == wire::TaskState::exited) {
       if (listed.placement) continue;
-      plan.commands.push_back({wire::CommandKind::forget, task, reported.attempt, 0});
+      plan.commands.push_back({wire::CommandKind::forget, attempt.task, attempt.attempt, 0});
       plan.has_forget = true;
       continue;
     }
-    const std::optional<double> grace_s = grace_to_stop(machine, listed, task, reported);
+    const std::optional<double> grace_s = grace_to_stop(machine, listed, attempt);
     const bool frees_capacity =
-        grace_s && add_stop(machine, listed, task, reported, *grace_s, plan);
+        grace_s && add_stop(machine, listed, attempt, reported, *grace_s, plan);
     if (!frees_capacity && listed.job) plan.free -= resources_of(listed.job->record.spec);
   }
 }
 
 CommandDispatcher::ListedTask CommandDispatcher::find_listed(const Machine& machine,
-                                                             const wire::TaskId& task,
-                                                             const ReportedTask& reported) const {
+                                                             const TaskAttempt& attempt) const {
+  const wire::TaskId& task = attempt.task;
   ListedTask listed;
   const auto job = context_.replica.jobs().find(task.job);
   if (job == context_.replica.jobs().end()) return listed;
@@ -51,7 +51,7 @@
     if (task.index < range.begin || task.index >= range.end) continue;
     const auto placed = range.placed.find(task.index);
     if (placed != range.placed.end() && placed->second.machine == machine.id &&
-        placed->second.attempt == reported.attempt &&
+        placed->second.attempt == attempt.attempt &&
         placed->second.incarnation == machine.incarnation) {
       listed.placement = &placed->second;
       listed.ref = {{task.job, number}, task.index};
@@ -62,13 +62,13 @@
 
 std::optional<double> CommandDispatcher::grace_to_stop(const Machine& machine,
                                                        const ListedTask& listed,
-                                                       const wire::TaskId& task,
-                                                       const ReportedTask& reported) const {
+                                                       const TaskAttempt& attempt) const {
   if (!listed.placement) return 0.0;  // not recorded: must not run
   if (!reconciler_.must_not_run(machine, listed.ref, *listed.placement)) return std::nullopt;
   const Job& job = *listed.job;
-  if (!job.known || cancellations_.is_cancelled(task.job, job)) return 0.0;
-  if (machine.stop_requested(task, reported.attempt)) return machine.stop_requests.at(task).grace_s;
+  if (!job.known || cancellations_.is_cancelled(attempt.task.job, job)) return 0.0;
+  if (machine.stop_requested(attempt.task, attempt.attempt))
+    return machine.stop_requests.at(attempt.task).grace_s;
   const wire::JobSpec& spec = job.record.spec;
   // The tasks of a gang stop together; the grace period gives all of them time to write
   // checkpoints.
@@ -78,14 +78,14 @@
 }
 
 bool CommandDispatcher::add_stop(const Machine& machine, const ListedTask& listed,
-                                 const wire::TaskId& task, const ReportedTask& reported,
+                                 const TaskAttempt& attempt, const ReportedTask& reported,
                                  double grace_s, CommandPlan& plan) const {
   plan.stopping = true;
   // A checkpoint in progress is not interrupted unless it is no longer needed.
   if (reported.state != wire::TaskState::checkpointing || grace_s == 0) {
-    plan.commands.push_back({wire::CommandKind::stop, task, reported.attempt, grace_s});
-    const bool cancelled =
-        listed.job && listed.job->known && cancellations_.is_cancelled(task.job, *listed.job);
+    plan.commands.push_back({wire::CommandKind::stop, attempt.task, attempt.attempt, grace_s});
+    const bool cancelled = listed.job && listed.job->known &&
+                           cancellations_.is_cancelled(attempt.task.job, *listed.job);
     log_command(machine, plan.commands.back(), listed.placement,
                 !listed.placement ? "not_recorded"
                 : cancelled       ? "cancelled"
@@ -106,8 +106,7 @@
         reconciler_.must_not_run(machine, ref, *placement))
       continue;
     const wire::TaskId task{ref.range.job, ref.index};
-    const auto reported = machine.tasks.find(task);
-    if (reported != machine.tasks.end() && reported->second.attempt == placement->attempt) continue;
+    if (machine.reported({task, placement->attempt})) continue;
     if (ranges_.is_released(ref, placement->attempt)) continue;
     const wire::JobSpec& spec = job->record.spec;
     if (!plan.free.fits(resources_of(spec))) {
--- a/src/workers/command_dispatcher.h
+++ b/src/workers/command_dispatcher.h
@@ -71,15 +71,13 @@
   };
   static constexpr double kUnbounded = 1e9;
 
-  [[nodiscard]] ListedTask find_listed(const Machine& machine, const wire::TaskId& task,
-                                       const ReportedTask& reported) const;
+  [[nodiscard]] ListedTask find_listed(const Machine& machine, const TaskAttempt& attempt) const;
   // Seconds that a listed task gets before it must end; none if it may keep running.
   [[nodiscard]] std::optional<double> grace_to_stop(const Machine& machine,
                                                     const ListedTask& listed,
-                                                    const wire::TaskId& task,
-                                                    const ReportedTask& reported) const;
+                                                    const TaskAttempt& attempt) const;
   // Adds the command to stop a listed task. Returns true if its capacity becomes free soon.
-  bool add_stop(const Machine& machine, const ListedTask& listed, const wire::TaskId& task,
+  bool add_stop(const Machine& machine, const ListedTask& listed, const TaskAttempt& attempt,
                 const ReportedTask& reported, double grace_s, CommandPlan& plan) const;
   // Adds commands to stop or forget listed tasks that should not be on the machine.
   void add_commands_for_listed(const Machine& machine, CommandPlan& plan) const;
--- a/src/workers/heartbeat_applier.cpp
+++ b/src/workers/heartbeat_applier.cpp
@@ -104,29 +104,22 @@
 
 bool HeartbeatApplier::apply_tasks(Ms now, Machine& machine, const wire::Heartbeat& heartbeat) {
   bool changed = false;
-  std::map<wire::TaskId, ReportedTask> tasks;
+  std::map<TaskAttempt, ReportedTask> tasks;
   for (const wire::TaskStatus& listed : heartbeat.tasks) {
+    const TaskAttempt attempt{listed.task, listed.attempt};
     ReportedTask task;
-    task.attempt = listed.attempt;
     task.state = listed.state;
     task.cause = listed.cause;
     task.checkpointed = listed.checkpointed;
-    const auto previous = machine.tasks.find(listed.task);
-    const bool same_attempt =
-        previous != machine.tasks.end() && previous->second.attempt == listed.attempt;
-    changed = changed || !same_attempt || previous->second.state != listed.state;
-    if (listed.state == wire::TaskState::running) {
-      const bool ran_before = same_attempt && previous->second.running_since != 0;
-      task.running_since = ran_before ? previous->second.running_since : now;
-    }
+    const ReportedTask* previous = machine.reported(attempt);
+    changed = changed || !previous || previous->state != listed.state;
+    const Ms ran_since = previous ? previous->running_since : 0;
+    if (listed.state == wire::TaskState::running) task.running_since = ran_since ? ran_since : now;
     // The run time later shows whether the attempt ended early.
-    if (listed.state == wire::TaskState::exited && same_attempt)
-      task.running_since = previous->second.running_since;
+    if (listed.state == wire::TaskState::exited) task.running_since = ran_since;
     add_image(machine, listed);
-    machine.unconfirmed_starts.erase({listed.task, listed.attempt});
-    // A heartbeat may list a task twice: an exited attempt and its successor.
-    const auto [entry, inserted] = tasks.emplace(listed.task, task);
-    if (!inserted && entry->second.state == wire::TaskState::exited) entry->second = task;
+    machine.unconfirmed_starts.erase(attempt);
+    tasks.emplace(attempt, task);
   }
   changed = changed || tasks.size() != machine.tasks.size();
   machine.tasks = std::move(tasks);
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -22,7 +22,6 @@
 
 // An attempt of a task as last reported by its machine.
 struct ReportedTask {
-  std::uint64_t attempt = 0;
   wire::TaskState state = wire::TaskState::fetching;
   wire::ExitCause cause = wire::ExitCause::none;
   bool checkpointed = false;
@@ -66,7 +65,8 @@
   Ms last_heartbeat = 0;                      // only heartbeats renew the lease
   bool heartbeat_answered = false;            // at least once since the machine is in this shard
   bool suspect = false;  // heartbeats look outdated: delayed copies, or an agent restart
-  std::map<wire::TaskId, ReportedTask> tasks;
+  // All attempts that the machine lists: also exited ones of tasks that it has a later attempt of.
+  std::map<TaskAttempt, ReportedTask> tasks;
   std::vector<std::string> images;
   bool preemption_notice = false;
   Ms preemption_at = 0;
@@ -107,13 +107,16 @@
   Resources reserved;
 
   HeartbeatCounters counters() const { return {incarnation, sequence}; }
+  // The attempt as last reported; null if the machine does not list it.
+  const ReportedTask* reported(const TaskAttempt& attempt) const {
+    const auto found = tasks.find(attempt);
+    return found == tasks.end() ? nullptr : &found->second;
+  }
   // Seconds that the attempt has run; 0 if it is not known to run on this machine.
-  double run_time_s(Ms now, const wire::TaskId& task, std::uint64_t attempt) const {
-    const auto reported = tasks.find(task);
-    if (reported == tasks.end() || reported->second.attempt != attempt ||
-        reported->second.running_since == 0)
-      return 0;
-    return static_cast<double>(now - reported->second.running_since) / 1000.0;
+  double run_time_s(Ms now, const TaskAttempt& attempt) const {
+    const ReportedTask* task = reported(attempt);
+    if (!task || task->running_since == 0) return 0;
+    return static_cast<double>(now - task->running_since) / 1000.0;
   }
   // Whether a stop of this attempt is requested.
   bool stop_requested(const wire::TaskId& task, std::uint64_t attempt) const {
--- a/src/workers/machine_monitor.cpp
+++ b/src/workers/machine_monitor.cpp
@@ -65,23 +65,25 @@
 }
 
 void MachineMonitor::drain(Machine& machine) const {
-  for (const auto& [task, reported] : machine.tasks) {
+  for (const auto& [attempt, reported] : machine.tasks) {
+    const wire::TaskId& task = attempt.task;
     const Job* job = context_.replica.job(task.job);
     if (!job || reported.state == wire::TaskState::exited || machine.stop_requests.contains(task))
       continue;
-    machine.stop_requests[task] = {reported.attempt, job->record.spec.checkpoint_write_s};
+    machine.stop_requests[task] = {attempt.attempt, job->record.spec.checkpoint_write_s};
     machine.resend_commands = true;
   }
 }
 
 void MachineMonitor::drain_before_preemption(Ms now, Machine& machine) {
-  for (const auto& [task, reported] : machine.tasks) {
+  for (const auto& [attempt, reported] : machine.tasks) {
+    const wire::TaskId& task = attempt.task;
     const Job* job = context_.replica.job(task.job);
     if (!job || reported.state == wire::TaskState::exited || machine.stop_requests.contains(task))
       continue;
     const auto& spec = job->record.spec;
     const double remaining_s = static_cast<double>(machine.preemption_at - now) / 1000.0;
-    const double run_s = machine.run_time_s(now, task, reported.attempt);
+    const double run_s = machine.run_time_s(now, attempt);
     const double needed_s = run_s < spec.estimate_s ? spec.estimate_s - run_s : kOverrunAllowanceS;
     if (spec.is_gang()) {
       for (const auto& [number, range] : job->ranges)
@@ -90,14 +92,14 @@
       continue;
     }
     if (spec.is_service()) {
-      if (remaining_s <= kServiceMoveLeadTimeS) move_replica(machine, task, reported.attempt);
+      if (remaining_s <= kServiceMoveLeadTimeS) move_replica(machine, task, attempt.attempt);
       continue;
     }
     // A task that can finish in time runs on. A task with checkpoints is stopped when just enough
     // time is left to write one.
     if (needed_s < remaining_s - 1.0) continue;
     if (spec.checkpoint_interval_s > 0 && remaining_s > spec.checkpoint_write_s + 2.0) continue;
-    machine.stop_requests[task] = {reported.attempt,
+    machine.stop_requests[task] = {attempt.attempt,
                                    spec.checkpoint_interval_s > 0 ? spec.checkpoint_write_s : 0.0};
     machine.candidate_valid = false;
     machine.resend_commands = true;
--- a/src/workers/reconciler.cpp
+++ b/src/workers/reconciler.cpp
@@ -23,10 +23,9 @@
       ranges_.release_task(ref, placement->attempt, false, {ReleaseProof::later_incarnation});
       continue;
     }
-    auto reported = machine.tasks.find(task);
-    if (reported != machine.tasks.end() && reported->second.attempt == placement->attempt) {
-      if (reported->second.state == wire::TaskState::exited)
-        on_exit(now, machine, ref, reported->second);
+    if (const ReportedTask* reported = machine.reported({task, placement->attempt})) {
+      if (reported->state == wire::TaskState::exited)
+        on_exit(now, machine, ref, placement->attempt, *reported);
       continue;
     }
     if (!machine.token_confirmed || !must_not_run(machine, ref, *placement)) continue;
@@ -67,26 +66,18 @@
     if (!placement || placement->incarnation < machine.incarnation ||
         !must_not_run(machine, ref, *placement))
       return false;
-    const auto reported = machine.tasks.find({ref.range.job, ref.index});
-    const bool listed =
-        reported != machine.tasks.end() && reported->second.attempt == placement->attempt;
-    return !listed && !ranges_.is_released(ref, placement->attempt);
+    return !machine.reported({{ref.range.job, ref.index}, placement->attempt}) &&
+           !ranges_.is_released(ref, placement->attempt);
   });
 }
 
-void Reconciler::on_exit(Ms now, Machine& machine, const TaskRef& ref,
+void Reconciler::on_exit(Ms now, Machine& machine, const TaskRef& ref, std::uint64_t attempt,
                          const ReportedTask& reported) {
-  auto work = ranges_.find(ref.range);
-  if (work != ranges_.end()) {
-    auto released_task = work->second.released.find(ref.index);
-    if (released_task != work->second.released.end() &&
-        released_task->second.attempt == reported.attempt)
-      return;  // already handled
-  }
+  if (ranges_.is_released(ref, attempt)) return;  // already handled
   const Job* job = context_.replica.job(ref.range.job);
   const bool service = job && job->record.spec.is_service();
   // A service never completes: a replica that reports completion has ended like any other.
-  ranges_.release_task(ref, reported.attempt, reported.cause == wire::ExitCause::done && !service,
+  ranges_.release_task(ref, attempt, reported.cause == wire::ExitCause::done && !service,
                        {ReleaseProof::exit_listed, machine.highest_token_seen});
   machine.stop_requests.erase({ref.range.job, ref.index});
   if (service) on_replica_end(now, machine, ref, reported);
--- a/src/workers/reconciler.h
+++ b/src/workers/reconciler.h
@@ -34,7 +34,8 @@
   [[nodiscard]] bool has_unproven_absence(const Machine& machine) const;
 
  private:
-  void on_exit(Ms now, Machine& machine, const TaskRef& ref, const ReportedTask& reported);
+  void on_exit(Ms now, Machine& machine, const TaskRef& ref, std::uint64_t attempt,
+               const ReportedTask& reported);
   // Updates the failure history of the job after the end of a replica.
   void on_replica_end(Ms now, const Machine& machine, const TaskRef& ref,
                       const ReportedTask& reported);
--- a/tests/workers_test.cpp
+++ b/tests/workers_test.cpp
@@ -143,6 +143,19 @@
   EXPECT_FALSE(reconciler_.has_unproven_absence(machine()));
 }
 
+// Guards against an exit that goes unseen, so that the task is neither placed again nor completed:
+// the machine lists the exit of the former attempt after that of the present one.
+TEST_F(WorkersTest, ExitIsSeenBesideThatOfAnotherAttempt) {
+  record_placement(2);
+  run(kLoadMs, [](Ms) {});
+  wire::Heartbeat exits = heartbeat(1, 1);
+  for (const std::uint64_t attempt : {2, 1})
+    exits.tasks.push_back(
+        {{kJob, 0}, attempt, wire::TaskState::exited, wire::ExitCause::stopped, false});
+  applier_.apply(now_, machine(), exits);
+  EXPECT_TRUE(is_released(2));
+}
+
 TEST_F(WorkersTest, StartsBelowTheReportedTokenAreForgotten) {
   machine().unconfirmed_starts[{{kJob, 0}, 1}] = token_;
   applier_.apply(now_, machine(), heartbeat(1, 1));
@@ -220,8 +233,8 @@
   wire::Heartbeat running = heartbeat(1, 1);
   running.tasks.push_back({{kJob, 0}, 1, wire::TaskState::running, wire::ExitCause::none, false});
   applier_.apply(now_, machine(), running);
-  EXPECT_DOUBLE_EQ(machine().run_time_s(now_ + 3000, {kJob, 0}, 1), 3);
-  EXPECT_DOUBLE_EQ(machine().run_time_s(now_ + 3000, {kJob, 0}, 2), 0);
+  EXPECT_DOUBLE_EQ(machine().run_time_s(now_ + 3000, {{kJob, 0}, 1}), 3);
+  EXPECT_DOUBLE_EQ(machine().run_time_s(now_ + 3000, {{kJob, 0}, 2}), 0);
 }
 
 }  // namespace
