Stop requests by attempt

`Machine::stop_requests` was kept by task with the attempt inside, and three of its users (the two that drain a machine, and preemption) asked by task alone: a request left over from a former attempt would keep the present one from being stopped. No sequence was found that leaves one over: a request goes with the release of its attempt or a later incarnation. Keyed by attempt, the mistake can't be made; and the release of all tasks of a machine whose lease has expired removes the requests too.

--- a/src/scheduling/candidate_cache.cpp
+++ b/src/scheduling/candidate_cache.cpp
@@ -13,13 +13,13 @@
     const auto* placement = context_.replica.placement(ref);
     const auto job = context_.replica.jobs().find(ref.range.job);
     if (!placement || job == context_.replica.jobs().end()) continue;
-    const wire::TaskId task{ref.range.job, ref.index};
-    const ReportedTask* reported = machine.reported({task, placement->attempt});
+    const TaskAttempt attempt{{ref.range.job, ref.index}, placement->attempt};
+    const ReportedTask* reported = machine.reported(attempt);
     if (reported && reported->state == wire::TaskState::exited) continue;
     if (ranges_.is_released(ref, placement->attempt)) continue;
     // A task that is being preempted counts as gone here; the tasks placed instead start only after
     // it has stopped.
-    if (machine.stop_requested(task, placement->attempt)) continue;
+    if (machine.stop_requested(attempt)) continue;
     const wire::JobSpec& spec = job->second.record.spec;
     const bool running = reported && reported->running_since != 0;
     candidate.book(spec, predicted_end(running ? reported->running_since : now, spec));
--- a/src/scheduling/preemption.cpp
+++ b/src/scheduling/preemption.cpp
@@ -67,11 +67,9 @@
                                      exceeds_guarantee != request.exceeds_guarantee.end() &&
                                      exceeds_guarantee->second;
   if (!has_lower_priority && !uses_others_guarantee) return std::nullopt;
-  const wire::TaskId task{ref.range.job, ref.index};
-  const TaskAttempt attempt{task, placement->attempt};
+  const TaskAttempt attempt{{ref.range.job, ref.index}, placement->attempt};
   const ReportedTask* reported = machine.reported(attempt);
-  if (machine.stop_requests.contains(task) || !reported ||
-      reported->state == wire::TaskState::exited ||
+  if (machine.stop_requested(attempt) || !reported || reported->state == wire::TaskState::exited ||
       reported->state == wire::TaskState::checkpointing)
     return std::nullopt;
   const double ran_s = machine.run_time_s(now, attempt);
@@ -94,7 +92,7 @@
     lost_s = std::min(ran_s, spec.checkpoint_interval_s / 2);
   }
   const double grace_s = checkpoint_in_time ? spec.checkpoint_write_s : 0.0;
-  return Victim{task, placement->attempt, grace_s, (lost_s + 1.0) * spec.cpus, &spec};
+  return Victim{attempt, grace_s, (lost_s + 1.0) * spec.cpus, &spec};
 }
 
 std::vector<Preemption::Victim> Preemption::victims_on(Ms now, const Machine& machine,
@@ -129,13 +127,13 @@
   Candidate& candidate = pass.candidate(plan.machine);
   Machine& machine = machines_.at(candidate.id);
   for (const Victim& victim : plan.victims) {
-    machine.stop_requests[victim.task] = {victim.attempt, victim.grace_s};
+    machine.stop_requests[victim.attempt] = victim.grace_s;
     // The cached candidate is kept, since the freed capacity is added to it below.
     machine.resend_commands = true;
     candidate.free += resources_of(*victim.spec);
-    context_.log(LogLevel::debug, "stopping " +
-                                      wire::task_name(victim.task.job, victim.task.index) + " on " +
-                                      candidate.id + " for " + spec.id);
+    context_.log(LogLevel::debug,
+                 "stopping " + wire::task_name(victim.attempt.task.job, victim.attempt.task.index) +
+                     " on " + candidate.id + " for " + spec.id);
   }
 }
 
--- a/src/scheduling/preemption.h
+++ b/src/scheduling/preemption.h
@@ -32,8 +32,7 @@
  private:
   // A running task that may be preempted.
   struct Victim {
-    wire::TaskId task;
-    std::uint64_t attempt = 0;
+    TaskAttempt attempt;
     double grace_s = 0;     // seconds to write a checkpoint before the stop
     double lost_cpu_s = 0;  // CPU seconds of work lost
     const wire::JobSpec* spec = nullptr;
--- a/src/workers/command_dispatcher.cpp
+++ b/src/workers/command_dispatcher.cpp
@@ -67,8 +67,9 @@
   if (!reconciler_.must_not_run(machine, listed.ref, *listed.placement)) return std::nullopt;
   const Job& job = *listed.job;
   if (!job.known || cancellations_.is_cancelled(attempt.task.job, job)) return 0.0;
-  if (machine.stop_requested(attempt.task, attempt.attempt))
-    return machine.stop_requests.at(attempt.task).grace_s;
+  if (const auto request = machine.stop_requests.find(attempt);
+      request != machine.stop_requests.end())
+    return request->second;
   const wire::JobSpec& spec = job.record.spec;
   // The tasks of a gang stop together; the grace period gives all of them time to write
   // checkpoints.
@@ -162,7 +163,7 @@
   if (inserted || now - blocked_since->second < kBlockedStartTimeoutMs) return;
   context_.log(LogLevel::info,
                "no capacity for " + wire::task_name(task.job, task.index) + " on " + machine.id);
-  machine.stop_requests[task] = {attempt, 0.0};
+  machine.stop_requests[{task, attempt}] = 0;
   machine.start_blocked_since.erase(blocked_since);
   machine.candidate_valid = false;
   machine.resend_commands = true;
--- a/src/workers/heartbeat_applier.cpp
+++ b/src/workers/heartbeat_applier.cpp
@@ -43,8 +43,9 @@
           return t.task == task && placement && t.attempt == placement->attempt;
         });
     if (!placement || listed) continue;
-    machine.stop_requests[task] = {placement->attempt, 0.0};
-    machine.unconfirmed_starts[{task, placement->attempt}] = machine.start_token;
+    const TaskAttempt attempt{task, placement->attempt};
+    machine.stop_requests[attempt] = 0;
+    machine.unconfirmed_starts[attempt] = machine.start_token;
   }
 }
 
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -28,12 +28,6 @@
   Ms running_since = 0;  // 0: not seen running
 };
 
-// Request to stop an attempt of a task.
-struct StopRequest {
-  std::uint64_t attempt = 0;
-  double grace_s = 0;  // seconds that the task gets to write a checkpoint
-};
-
 // Incarnation of a worker agent and sequence number of its heartbeat. They order the messages of a
 // machine.
 struct HeartbeatCounters {
@@ -88,7 +82,8 @@
   std::uint64_t reachability_token = 0;  // if the machine reports it, it is reachable
 
   // ---- commands ----
-  std::map<wire::TaskId, StopRequest> stop_requests;
+  // Attempts that are to stop, with the seconds that each gets to write a checkpoint.
+  std::map<TaskAttempt, double> stop_requests;
   std::map<wire::TaskId, Ms> start_blocked_since;  // starts without capacity
   Ms full_until = 0;  // no new tasks until then: it refused a start for lack of capacity
   bool commands_in_flight = false;
@@ -119,10 +114,7 @@
     return static_cast<double>(now - task->running_since) / 1000.0;
   }
   // Whether a stop of this attempt is requested.
-  bool stop_requested(const wire::TaskId& task, std::uint64_t attempt) const {
-    const auto request = stop_requests.find(task);
-    return request != stop_requests.end() && request->second.attempt == attempt;
-  }
+  bool stop_requested(const TaskAttempt& attempt) const { return stop_requests.contains(attempt); }
 };
 
 }  // namespace scheduler
--- a/src/workers/machine_monitor.cpp
+++ b/src/workers/machine_monitor.cpp
@@ -66,20 +66,18 @@
 
 void MachineMonitor::drain(Machine& machine) const {
   for (const auto& [attempt, reported] : machine.tasks) {
-    const wire::TaskId& task = attempt.task;
-    const Job* job = context_.replica.job(task.job);
-    if (!job || reported.state == wire::TaskState::exited || machine.stop_requests.contains(task))
+    const Job* job = context_.replica.job(attempt.task.job);
+    if (!job || reported.state == wire::TaskState::exited || machine.stop_requested(attempt))
       continue;
-    machine.stop_requests[task] = {attempt.attempt, job->record.spec.checkpoint_write_s};
+    machine.stop_requests[attempt] = job->record.spec.checkpoint_write_s;
     machine.resend_commands = true;
   }
 }
 
 void MachineMonitor::drain_before_preemption(Ms now, Machine& machine) {
   for (const auto& [attempt, reported] : machine.tasks) {
-    const wire::TaskId& task = attempt.task;
-    const Job* job = context_.replica.job(task.job);
-    if (!job || reported.state == wire::TaskState::exited || machine.stop_requests.contains(task))
+    const Job* job = context_.replica.job(attempt.task.job);
+    if (!job || reported.state == wire::TaskState::exited || machine.stop_requested(attempt))
       continue;
     const auto& spec = job->record.spec;
     const double remaining_s = static_cast<double>(machine.preemption_at - now) / 1000.0;
@@ -87,28 +85,26 @@
     const double needed_s = run_s < spec.estimate_s ? spec.estimate_s - run_s : kOverrunAllowanceS;
     if (spec.is_gang()) {
       for (const auto& [number, range] : job->ranges)
-        ranges_[{task.job, number}].stop_requested = true;
+        ranges_[{attempt.task.job, number}].stop_requested = true;
       pass_trigger_.request();
       continue;
     }
     if (spec.is_service()) {
-      if (remaining_s <= kServiceMoveLeadTimeS) move_replica(machine, task, attempt.attempt);
+      if (remaining_s <= kServiceMoveLeadTimeS) move_replica(machine, attempt);
       continue;
     }
     // A task that can finish in time runs on. A task with checkpoints is stopped when just enough
     // time is left to write one.
     if (needed_s < remaining_s - 1.0) continue;
     if (spec.checkpoint_interval_s > 0 && remaining_s > spec.checkpoint_write_s + 2.0) continue;
-    machine.stop_requests[task] = {attempt.attempt,
-                                   spec.checkpoint_interval_s > 0 ? spec.checkpoint_write_s : 0.0};
+    machine.stop_requests[attempt] = spec.checkpoint_interval_s > 0 ? spec.checkpoint_write_s : 0.0;
     machine.candidate_valid = false;
     machine.resend_commands = true;
   }
 }
 
-void MachineMonitor::move_replica(Machine& machine, const wire::TaskId& task,
-                                  std::uint64_t attempt) {
-  machine.stop_requests[task] = {attempt, 0.0};
+void MachineMonitor::move_replica(Machine& machine, const TaskAttempt& attempt) {
+  machine.stop_requests[attempt] = 0;
   machine.candidate_valid = false;
   machine.resend_commands = true;
 }
@@ -203,6 +199,7 @@
       ranges_.release_task(ref, placement->attempt, false, evidence);
   }
   machine.tasks.clear();
+  machine.stop_requests.clear();
   machine.candidate_valid = false;
   // The machine is replaced unless this controller receives no messages because of its own links.
   const bool ready = machine.recorded && machine.state == wire::MachineState::ready;
--- a/src/workers/machine_monitor.h
+++ b/src/workers/machine_monitor.h
@@ -66,7 +66,7 @@
   // Stops tasks that can't finish before the cloud preempts the machine.
   void drain_before_preemption(Ms now, Machine& machine);
   // Stops a service replica whose machine is about to be preempted, so that it starts elsewhere.
-  static void move_replica(Machine& machine, const wire::TaskId& task, std::uint64_t attempt);
+  static void move_replica(Machine& machine, const TaskAttempt& attempt);
 
   const Context& context_;
   const ControllerStatus& status_;
--- a/src/workers/reconciler.cpp
+++ b/src/workers/reconciler.cpp
@@ -18,22 +18,22 @@
   for (const TaskRef& ref : context_.replica.placed_on(machine.id)) {
     const auto* placement = context_.replica.placement(ref);
     if (!placement) continue;
-    const wire::TaskId task{ref.range.job, ref.index};
+    const TaskAttempt attempt{{ref.range.job, ref.index}, placement->attempt};
     if (placement->incarnation < machine.incarnation) {
       ranges_.release_task(ref, placement->attempt, false, {ReleaseProof::later_incarnation});
       continue;
     }
-    if (const ReportedTask* reported = machine.reported({task, placement->attempt})) {
+    if (const ReportedTask* reported = machine.reported(attempt)) {
       if (reported->state == wire::TaskState::exited)
         on_exit(now, machine, ref, placement->attempt, *reported);
       continue;
     }
     if (!machine.token_confirmed || !must_not_run(machine, ref, *placement)) continue;
-    auto start = machine.unconfirmed_starts.find({task, placement->attempt});
+    auto start = machine.unconfirmed_starts.find(attempt);
     const std::uint64_t sent_token = start == machine.unconfirmed_starts.end() ? 0 : start->second;
     if (machine.highest_token_seen > sent_token) {
       // The worker rejects a start still in flight, because that carries a lower token.
-      machine.stop_requests.erase(task);
+      machine.stop_requests.erase(attempt);
       ranges_.release_task(
           ref, placement->attempt, false,
           {ReleaseProof::token_above_start, machine.highest_token_seen, sent_token});
@@ -50,7 +50,7 @@
   const auto& spec = job->second.record.spec;
   // Placed in an incarnation from before the machine restarted.
   if (machine.sequence > 0 && placement.incarnation > machine.incarnation) return true;
-  if (machine.stop_requested({ref.range.job, ref.index}, placement.attempt)) return true;
+  if (machine.stop_requested({{ref.range.job, ref.index}, placement.attempt})) return true;
   if (!spec.is_gang()) return false;
   const auto* range = context_.replica.range(ref.range);
   if (!range || range->stopping) return true;
@@ -79,7 +79,7 @@
   // A service never completes: a replica that reports completion has ended like any other.
   ranges_.release_task(ref, attempt, reported.cause == wire::ExitCause::done && !service,
                        {ReleaseProof::exit_listed, machine.highest_token_seen});
-  machine.stop_requests.erase({ref.range.job, ref.index});
+  machine.stop_requests.erase({{ref.range.job, ref.index}, attempt});
   if (service) on_replica_end(now, machine, ref, reported);
   switch (reported.cause) {
     case wire::ExitCause::done:
