Blocked starts by attempt

The time since when a start waits for capacity was kept by task: left over from a former attempt, it would make the present one be given up at once. No sequence was found that does so; an entry of a cancelled task did stay until the machine's next incarnation. It is kept by attempt and goes with the attempt's release.

--- a/src/workers/command_dispatcher.cpp
+++ b/src/workers/command_dispatcher.cpp
@@ -106,21 +106,20 @@
     if (!placement || !job || placement->incarnation != machine.incarnation ||
         reconciler_.must_not_run(machine, ref, *placement))
       continue;
-    const wire::TaskId task{ref.range.job, ref.index};
-    if (machine.reported({task, placement->attempt})) continue;
+    const TaskAttempt attempt{{ref.range.job, ref.index}, placement->attempt};
+    if (machine.reported(attempt)) continue;
     if (ranges_.is_released(ref, placement->attempt)) continue;
     const wire::JobSpec& spec = job->record.spec;
     if (!plan.free.fits(resources_of(spec))) {
-      if (!plan.stopping && !spec.is_gang())
-        abandon_blocked_start(now, machine, task, placement->attempt);
+      if (!plan.stopping && !spec.is_gang()) abandon_blocked_start(now, machine, attempt);
       continue;  // waits for the tasks that are being stopped
     }
-    machine.start_blocked_since.erase(task);
+    machine.start_blocked_since.erase(attempt);
     plan.free -= resources_of(spec);
-    plan.commands.push_back({wire::CommandKind::start, task, placement->attempt, 0});
+    plan.commands.push_back({wire::CommandKind::start, attempt.task, attempt.attempt, 0});
     log_command(machine, plan.commands.back(), placement, "placed");
     machine.start_token = machines_.token(machine);
-    machine.unconfirmed_starts[{task, placement->attempt}] = machine.start_token;
+    machine.unconfirmed_starts[attempt] = machine.start_token;
   }
 }
 
@@ -157,13 +156,14 @@
   context_.log(LogLevel::debug, event.text());
 }
 
-void CommandDispatcher::abandon_blocked_start(Ms now, Machine& machine, const wire::TaskId& task,
-                                              std::uint64_t attempt) {
-  auto [blocked_since, inserted] = machine.start_blocked_since.try_emplace(task, now);
+void CommandDispatcher::abandon_blocked_start(Ms now, Machine& machine,
+                                              const TaskAttempt& attempt) {
+  auto [blocked_since, inserted] = machine.start_blocked_since.try_emplace(attempt, now);
   if (inserted || now - blocked_since->second < kBlockedStartTimeoutMs) return;
-  context_.log(LogLevel::info,
-               "no capacity for " + wire::task_name(task.job, task.index) + " on " + machine.id);
-  machine.stop_requests[{task, attempt}] = 0;
+  context_.log(LogLevel::info, "no capacity for " +
+                                   wire::task_name(attempt.task.job, attempt.task.index) + " on " +
+                                   machine.id);
+  machine.stop_requests[attempt] = 0;
   machine.start_blocked_since.erase(blocked_since);
   machine.candidate_valid = false;
   machine.resend_commands = true;
--- a/src/workers/command_dispatcher.h
+++ b/src/workers/command_dispatcher.h
@@ -88,8 +88,7 @@
   // Gives up a start that has waited too long for capacity. Two controllers may have filled the
   // same machine at the same time with services, which do not end. The task is placed again once
   // the machine has proven that it does not have it.
-  void abandon_blocked_start(Ms now, Machine& machine, const wire::TaskId& task,
-                             std::uint64_t attempt);
+  void abandon_blocked_start(Ms now, Machine& machine, const TaskAttempt& attempt);
   [[nodiscard]] bool needs_direct_command(const Machine& machine,
                                           const std::vector<wire::Command>& commands) const;
   void on_command_result(Ms now, const SentCommands& sent, const HttpResult& http_result);
--- a/src/workers/machine.h
+++ b/src/workers/machine.h
@@ -84,7 +84,7 @@
   // ---- commands ----
   // Attempts that are to stop, with the seconds that each gets to write a checkpoint.
   std::map<TaskAttempt, double> stop_requests;
-  std::map<wire::TaskId, Ms> start_blocked_since;  // starts without capacity
+  std::map<TaskAttempt, Ms> start_blocked_since;  // starts without capacity
   Ms full_until = 0;  // no new tasks until then: it refused a start for lack of capacity
   bool commands_in_flight = false;
   bool resend_commands = false;
--- a/src/workers/machine_monitor.cpp
+++ b/src/workers/machine_monitor.cpp
@@ -200,6 +200,7 @@
   }
   machine.tasks.clear();
   machine.stop_requests.clear();
+  machine.start_blocked_since.clear();
   machine.candidate_valid = false;
   // The machine is replaced unless this controller receives no messages because of its own links.
   const bool ready = machine.recorded && machine.state == wire::MachineState::ready;
--- a/src/workers/reconciler.cpp
+++ b/src/workers/reconciler.cpp
@@ -34,6 +34,7 @@
     if (machine.highest_token_seen > sent_token) {
       // The worker rejects a start still in flight, because that carries a lower token.
       machine.stop_requests.erase(attempt);
+      machine.start_blocked_since.erase(attempt);
       ranges_.release_task(
           ref, placement->attempt, false,
           {ReleaseProof::token_above_start, machine.highest_token_seen, sent_token});
