A key missing in a full read may exist again from the next revision on

Cause: the removal of a key that a full read didn't find was recorded with the revision after the read's. The change at exactly that revision counted as an older one and was ignored for good.

Change: the removal carries the revision of the full read (KeyVersions::remove_missing). No version that the replica holds of a missing key is above it.

--- a/src/state/key_versions.cpp
+++ b/src/state/key_versions.cpp
@@ -30,14 +30,18 @@
   std::erase_if(tombstones_, [revision](const auto& t) { return t.second <= revision; });
 }
 
-std::vector<std::string> KeyVersions::missing_keys(const std::set<std::string>& found_keys,
-                                                   std::uint64_t revision) const {
+std::vector<std::string> KeyVersions::remove_missing(const std::set<std::string>& found_keys,
+                                                     std::uint64_t revision) {
   std::vector<std::string> keys;
   for (const auto& [key, version] : versions_) {
     if (version <= revision && !found_keys.contains(key) &&
         !key.starts_with(wire::kFinalStatePrefix))
       keys.push_back(key);
   }
+  for (const auto& key : keys) {
+    versions_.erase(key);
+    tombstones_[key] = revision;
+  }
   return keys;
 }
 
--- a/src/state/key_versions.h
+++ b/src/state/key_versions.h
@@ -26,11 +26,11 @@
   // Drops the tombstones up to the revision. The watch has delivered every change up to it, so no
   // older change can arrive any more.
   void drop_tombstones(std::uint64_t revision);
-  // Returns the keys whose version is at or below the revision and that are not in `found_keys`,
-  // the keys found by a full read at that revision. Skips final states, since a full read doesn't
-  // cover them.
-  std::vector<std::string> missing_keys(const std::set<std::string>& found_keys,
-                                        std::uint64_t revision) const;
+  // Removes the keys whose version is at or below the revision and that are not in `found_keys`,
+  // the keys found by a full read that began at that revision, and returns them. A key may exist
+  // again from the next revision on. Skips final states, since a full read doesn't cover them.
+  std::vector<std::string> remove_missing(const std::set<std::string>& found_keys,
+                                          std::uint64_t revision);
 
  private:
   std::unordered_map<std::string, std::uint64_t> versions_;
--- a/src/state/replica_feed.cpp
+++ b/src/state/replica_feed.cpp
@@ -16,8 +16,8 @@
 
 void ReplicaFeed::finish_full_read(Ms now, std::uint64_t revision,
                                    const std::set<std::string>& found_keys) {
-  for (auto& key : versions_.missing_keys(found_keys, revision))
-    apply(now, {std::move(key), std::nullopt, revision + 1});
+  for (auto& key : versions_.remove_missing(found_keys, revision))
+    apply_(now, {std::move(key), std::nullopt, revision});
   applied_revision_ = revision;
 }
 
--- a/tests/state_client_test.cpp
+++ b/tests/state_client_test.cpp
@@ -252,6 +252,28 @@
   EXPECT_EQ(replica_items_.size(), 3U);
 }
 
+// Guards against a controller that never learns of its own live record: the record was missing in a
+// full read, and rejoining wrote it with the first change after that read.
+TEST_F(StateClientTest, KeyMissingInAFullReadMayExistFromTheNextRevisionOn) {
+  put("live/a");
+  run(1000);
+  ASSERT_EQ(client_.version("live/a"), 1U);
+  state_.watchers.clear();
+  state_.changes_kept = 1;
+  remove("live/a");
+  put("job/b");
+  put("job/c");
+  client_.barrier_read(now_, 0, [](Ms, bool) {});
+  run(3000);
+  ASSERT_EQ(state_.compacted_watches, 1);
+  ASSERT_EQ(client_.version("live/a"), 0U);
+  ASSERT_EQ(client_.applied_revision(), 4U);
+  put("live/a");
+  run(200);
+  EXPECT_EQ(client_.version("live/a"), 5U);
+  EXPECT_TRUE(replica_items_.contains("live/a"));
+}
+
 TEST_F(StateClientTest, LateReplyToAnOwnWriteDoesNotRecreateARemovedKey) {
   run(1000);
   transaction_reply_delay_ms_ = 1500;
