A replica leaves a machine that keeps its result while another may run it

Cause: a job's task had failed on the other machine within three minutes, so that no machine was left with neither a failure nor a kept result. Then ServicePlacement gave up both conditions together and took the machine with the earlier predicted finish: the one that never runs the replica. The back-off of the job doesn't help, as its other replicas run well.

Change: a failure is forgiven as before, but a machine that keeps the result is used only if every allowed machine does. ServicePlacementTest.MachineThatKeepsTheResultComesAfterOneWithAFailure failed before (n-1 instead of n-2).

--- a/src/scheduling/service_placement.cpp
+++ b/src/scheduling/service_placement.cpp
@@ -89,6 +89,7 @@
       !failure_tracker_.is_faulty_job(spec.id) && has_other_machine(pass, constraints);
   constraints.avoid_failures_ms.reset();
   if (other_machines_exist) constraints.avoid_failures_ms = kFailedMachineRetryDelayMs;
+  constraints.avoid_kept_result = has_machine_without_result(pass, constraints);
   return pick_of_two(pass.now, pass.candidates, spec, replica_candidates(pass, constraints, true),
                      random_);
 }
@@ -104,6 +105,16 @@
       });
 }
 
+bool ServicePlacement::has_machine_without_result(const SchedulingPass& pass,
+                                                  const ReplicaConstraints& constraints) const {
+  const wire::JobSpec& spec = *constraints.spec;
+  return std::any_of(
+      pass.candidates.begin(), pass.candidates.end(), [&](const Candidate* candidate) {
+        return allowed(spec, candidate->type, candidate->zone, candidate->spot) &&
+               !failure_tracker_.has_kept_result(pass.now, candidate->id, constraints.replica);
+      });
+}
+
 std::vector<int> ServicePlacement::replica_candidates(const SchedulingPass& pass,
                                                       const ReplicaConstraints& constraints,
                                                       bool local) const {
@@ -119,9 +130,11 @@
     if (constraints.contacted_recently && !machines_.contacted_recently(pass.now, candidate.id))
       continue;
     if (constraints.avoid_failures_ms &&
-        (failure_tracker_.has_failed_on(pass.now, candidate.id, spec.id,
-                                        *constraints.avoid_failures_ms) ||
-         failure_tracker_.has_kept_result(pass.now, candidate.id, constraints.replica)))
+        failure_tracker_.has_failed_on(pass.now, candidate.id, spec.id,
+                                       *constraints.avoid_failures_ms))
+      continue;
+    if (constraints.avoid_kept_result &&
+        failure_tracker_.has_kept_result(pass.now, candidate.id, constraints.replica))
       continue;
     out.push_back(static_cast<int>(i));
   }
--- a/src/scheduling/service_placement.h
+++ b/src/scheduling/service_placement.h
@@ -48,9 +48,9 @@
     wire::TaskId replica;
     std::set<std::string> occupied;              // machines that have a replica of the job
     std::optional<std::set<std::string>> zones;  // unset: any zone
-    // Excludes machines where the job failed within this time and machines that keep a result of
-    // the replica; unset: excludes neither.
+    // Excludes machines where the job failed within this time; unset: excludes none.
     std::optional<Ms> avoid_failures_ms = kFailureMemoryMs;
+    bool avoid_kept_result = true;    // not where the worker keeps a result of the replica
     bool without_replica = false;     // not where the job has a replica
     bool contacted_recently = false;  // only machines in recent contact
   };
@@ -59,7 +59,8 @@
   // from a set that is relaxed step by step. Machines of this controller's shard come first: a
   // replica on another shard's machine makes concurrent placements by that shard's owner fail and
   // starts later. Machines where the job failed come last, and only if the job has failed on
-  // several machines or no other machine is allowed.
+  // several machines or no other machine is allowed. Machines that keep a result of the replica,
+  // where it would end at once, are used only if there are no others.
   int pick_for_replica(SchedulingPass& pass, const Job& job, std::uint32_t task);
   // Picks among the machines of this controller's shard. Machines without a replica of the job come
   // first, so that the loss of one machine affects few replicas. Among these, machines with recent
@@ -70,6 +71,10 @@
   // capacity.
   [[nodiscard]] bool has_other_machine(const SchedulingPass& pass,
                                        const ReplicaConstraints& constraints) const;
+  // Whether the job is allowed on some machine that keeps no result of the replica, regardless of
+  // free capacity.
+  [[nodiscard]] bool has_machine_without_result(const SchedulingPass& pass,
+                                                const ReplicaConstraints& constraints) const;
   [[nodiscard]] std::vector<int> replica_candidates(const SchedulingPass& pass,
                                                     const ReplicaConstraints& constraints,
                                                     bool local) const;
