Nothing is preempted for a replica on a machine that keeps its result

Preemption comes before other shards' machines, so that these were never tried.

Cause: Preemption::preempt_for left out machines where the job had failed, and not those that keep a result of the replica.

Change: preempt_for is told the replica and leaves such machines out. ServicePlacementTest.NothingIsPreemptedOnAMachineThatKeepsTheResult failed before (n-1 chosen, a task there stopped).

--- a/src/scheduling/preemption.cpp
+++ b/src/scheduling/preemption.cpp
@@ -138,7 +138,7 @@
 }
 
 int Preemption::preempt_for(SchedulingPass& pass, const wire::JobSpec& spec, bool is_urgent,
-                            const std::set<std::string>* zones) {
+                            const std::set<std::string>* zones, const wire::TaskId* replica) {
   const bool entitled = within_guarantee(pass, spec.team, spec);
   if (spec.priority == wire::Priority::low && !entitled) return -1;
   if (pass.local_machines == 0) return -1;
@@ -152,7 +152,8 @@
     if (!candidate.local || machine == machines_.end() ||
         !allowed(spec, candidate.type, candidate.zone, candidate.spot) ||
         (zones && !zones->contains(candidate.zone)) ||
-        failure_tracker_.has_failed_on(pass.now, candidate.id, spec.id))
+        failure_tracker_.has_failed_on(pass.now, candidate.id, spec.id) ||
+        (replica && failure_tracker_.has_kept_result(pass.now, candidate.id, *replica)))
       continue;
     std::vector<Victim> victims =
         fewest_victims(candidate, victims_on(pass.now, machine->second, request), spec);
--- a/src/scheduling/preemption.h
+++ b/src/scheduling/preemption.h
@@ -23,11 +23,12 @@
 
   // Stops preemptible tasks to make room for a task of the job, on the machine where this loses the
   // least work. Returns the index of the machine, with the freed capacity counted as free, or -1.
-  // `zones` limits the machine's zone; null allows any zone. A few machines are sampled instead of
-  // scanning all, so that the cost does not grow with the fleet; the least loss in the sample is
-  // close to the least loss overall.
+  // `zones` limits the machine's zone; null allows any zone. If the task is the replica of a
+  // service, `replica` excludes machines that keep a result of it. A few machines are sampled
+  // instead of scanning all, so that the cost does not grow with the fleet; the least loss in the
+  // sample is close to the least loss overall.
   int preempt_for(SchedulingPass& pass, const wire::JobSpec& spec, bool is_urgent,
-                  const std::set<std::string>* zones);
+                  const std::set<std::string>* zones, const wire::TaskId* replica = nullptr);
 
  private:
   // A running task that may be preempted.
--- a/src/scheduling/service_placement.cpp
+++ b/src/scheduling/service_placement.cpp
@@ -69,8 +69,8 @@
   if (bound_to_zones) constraints.zones = assigner_.open_zones(pass, job);
   const int local = pick_local_for_replica(pass, constraints);
   if (local >= 0) return local;
-  const int preempted =
-      preemption_.preempt_for(pass, spec, true, bound_to_zones ? &*constraints.zones : nullptr);
+  const int preempted = preemption_.preempt_for(
+      pass, spec, true, bound_to_zones ? &*constraints.zones : nullptr, &constraints.replica);
   if (preempted >= 0) return preempted;
   // Guards against a service whose zone has no machine of this controller's shard.
   candidate_cache_.add_remote_candidates(pass);
--- a/tests/service_placement_test.cpp
+++ b/tests/service_placement_test.cpp
@@ -129,5 +129,14 @@
   EXPECT_EQ(chosen(), "n-1");
 }
 
+// Guards against the same by way of preemption, which also ends another job's task each time.
+TEST_F(ServicePlacementTest, NothingIsPreemptedOnAMachineThatKeepsTheResult) {
+  fill_first_machine();
+  second_.free.cpus = 0;
+  failures_.on_result_kept(now_, "n-1", {kService, 0});
+  EXPECT_EQ(chosen(), "");
+  EXPECT_TRUE(machines_.at("n-1").stop_requests.empty());
+}
+
 }  // namespace
 }  // namespace scheduler
