Commands are derived and sent by classes of their own

CommandDispatcher did both. CommandPlanner now derives the commands from the records and remembers the starts as unconfirmed; CommandDispatcher sends direct messages and handles their replies.

--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -38,6 +38,7 @@
 #include "state/replica.h"
 #include "state/state_client.h"
 #include "workers/command_dispatcher.h"
+#include "workers/command_planner.h"
 #include "workers/failure_tracker.h"
 #include "workers/gossiped_cancellations.h"
 #include "workers/heartbeat_applier.h"
@@ -161,6 +162,7 @@
   Relay relay_;
   WorkerLinks worker_links_;
   ShardReachability reachability_;
+  CommandPlanner command_planner_;
   CommandDispatcher commands_;
   HeartbeatEndpoint heartbeats_;
   MachineMonitor machine_monitor_;
--- a/src/workers/heartbeat_endpoint.cpp
+++ b/src/workers/heartbeat_endpoint.cpp
@@ -90,7 +90,7 @@
     context_.reply_unavailable(request, kRetryAfterS);
     return;
   }
-  const auto commands = commands_.commands_for(now, machine);
+  const auto commands = planner_.commands_for(now, machine);
   const std::uint64_t token = machines_.token(machine);
   machine.heartbeat_answered = true;
   machine.lease_granted_at = std::max(machine.lease_granted_at, now);
--- a/src/workers/heartbeat_endpoint.h
+++ b/src/workers/heartbeat_endpoint.h
@@ -7,6 +7,7 @@
 #include "membership/context.h"
 #include "membership/controller_status.h"
 #include "workers/command_dispatcher.h"
+#include "workers/command_planner.h"
 #include "workers/heartbeat_applier.h"
 #include "workers/machine_table.h"
 #include "workers/worker_links.h"
@@ -16,12 +17,13 @@
 class HeartbeatEndpoint {
  public:
   HeartbeatEndpoint(const Context& context, ControllerStatus& status, MachineTable& machines,
-                    HeartbeatApplier& heartbeats, CommandDispatcher& commands,
-                    WorkerLinks& worker_links, links::Monitor& links)
+                    HeartbeatApplier& heartbeats, CommandPlanner& planner,
+                    CommandDispatcher& commands, WorkerLinks& worker_links, links::Monitor& links)
       : context_(context),
         status_(status),
         machines_(machines),
         heartbeat_applier_(heartbeats),
+        planner_(planner),
         commands_(commands),
         worker_links_(worker_links),
         links_(links) {}
@@ -40,6 +42,7 @@
   ControllerStatus& status_;
   MachineTable& machines_;
   HeartbeatApplier& heartbeat_applier_;
+  CommandPlanner& planner_;
   CommandDispatcher& commands_;
   WorkerLinks& worker_links_;
   links::Monitor& links_;
