--- a/src/scheduling/service_placement.cpp
+++ b/src/scheduling/service_placement.cpp
@@ -86,32 +86,24 @@
   // Guards against a replica that waits for as long as failures are remembered because the only
   // free capacity is on a machine where it failed once.
   const bool other_machines_exist =
-      !failure_tracker_.is_faulty_job(spec.id) && has_other_machine(pass, constraints);
+      !failure_tracker_.is_faulty_job(spec.id) && has_other_machine(pass, constraints, true);
   constraints.avoid_failures_ms.reset();
   if (other_machines_exist) constraints.avoid_failures_ms = kFailedMachineRetryDelayMs;
-  constraints.avoid_kept_result = has_machine_without_result(pass, constraints);
+  constraints.avoid_kept_result = has_other_machine(pass, constraints, false);
   return pick_of_two(pass.now, pass.candidates, spec, replica_candidates(pass, constraints, true),
                      random_);
 }
 
 bool ServicePlacement::has_other_machine(const SchedulingPass& pass,
-                                         const ReplicaConstraints& constraints) const {
+                                         const ReplicaConstraints& constraints,
+                                         bool without_failure) const {
   const wire::JobSpec& spec = *constraints.spec;
   return std::any_of(
       pass.candidates.begin(), pass.candidates.end(), [&](const Candidate* candidate) {
         return allowed(spec, candidate->type, candidate->zone, candidate->spot) &&
-               !failure_tracker_.has_failed_on(pass.now, candidate->id, spec.id) &&
-               !failure_tracker_.has_kept_result(pass.now, candidate->id, constraints.replica);
-      });
-}
-
-bool ServicePlacement::has_machine_without_result(const SchedulingPass& pass,
-                                                  const ReplicaConstraints& constraints) const {
-  const wire::JobSpec& spec = *constraints.spec;
-  return std::any_of(
-      pass.candidates.begin(), pass.candidates.end(), [&](const Candidate* candidate) {
-        return allowed(spec, candidate->type, candidate->zone, candidate->spot) &&
-               !failure_tracker_.has_kept_result(pass.now, candidate->id, constraints.replica);
+               !failure_tracker_.has_kept_result(pass.now, candidate->id, constraints.replica) &&
+               !(without_failure &&
+                 failure_tracker_.has_failed_on(pass.now, candidate->id, spec.id));
       });
 }
 
--- a/src/scheduling/service_placement.h
+++ b/src/scheduling/service_placement.h
@@ -67,14 +67,11 @@
   // contact come first, which guards against replicas being started on machines that failed
   // together with the replica's last machine.
   int pick_local_for_replica(SchedulingPass& pass, ReplicaConstraints constraints);
-  // Whether the job is allowed on some machine where it has not failed, regardless of free
-  // capacity.
-  [[nodiscard]] bool has_other_machine(const SchedulingPass& pass,
-                                       const ReplicaConstraints& constraints) const;
   // Whether the job is allowed on some machine that keeps no result of the replica, regardless of
-  // free capacity.
-  [[nodiscard]] bool has_machine_without_result(const SchedulingPass& pass,
-                                                const ReplicaConstraints& constraints) const;
+  // free capacity. `without_failure`: and where the job has not failed recently.
+  [[nodiscard]] bool has_other_machine(const SchedulingPass& pass,
+                                       const ReplicaConstraints& constraints,
+                                       bool without_failure) const;
   [[nodiscard]] std::vector<int> replica_candidates(const SchedulingPass& pass,
                                                     const ReplicaConstraints& constraints,
                                                     bool local) const;
