--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -55,6 +55,9 @@
   double report_s = 5, lease_s = 22, gang_wait_s = 45, gang_peer_s = 6, cancel_s = 42;
   double state_rps = 200, state_write_rps = 50, value_kb = 8;
   int txn_ops = 24;
+  // Limits that the settings announce (`state.next`); 0: none.
+  double next_value_kb = 0, next_write_rps = 0;
+  int next_txn_ops = 0;
   double cloud_rps = 6, list_lag_s = 10;
   double cpu_share = 0.12, ram_mb = 104;
   int fd_limit = 3000;
@@ -68,7 +71,8 @@
   std::string id, job_class, team, shape = "batch", rank = "standard", image;
   unsigned tasks = 1;
   double cpus = 1, gpus = 0, memory_gb = 1, image_gb = 0.5;
-  std::string zone;  // empty: any
+  std::string zone;             // empty: any
+  std::set<std::string> types;  // empty: any
   bool together = false, scatter = false, standby = false;
   double estimate_s = 60, checkpoint_s = 0, save_s = 0;
   std::optional<double> due_s;
@@ -196,6 +200,8 @@
   // The machine loses its power with all that is on it.
   void stop();
   void hang();
+  // A machine that hangs past its lease kills its tasks before anything else when it goes on.
+  bool lost_lease() const;
   void go_on();
 
   std::string id, zone, endpoint;
@@ -280,6 +286,8 @@
   double random(double low, double high);
 
   void start_controller(std::size_t index);
+  // The announced limits of the state service come into force.
+  void lower_limits();
   void kill_controller(std::size_t index);
   void pause_controller(std::size_t index);
   void resume_controller(std::size_t index);
@@ -321,6 +329,7 @@
  private:
   friend class Machine;
   friend class Cloud;
+  void check_place(const Machine& machine, const Task& task, const Job& job);
   void submit_to(const std::string& id, std::size_t node);
   void cancel_at(const std::string& id, std::size_t node);
   void poll(const std::string& id);
