--- a/review/stand-ins-2/world.cpp
+++ b/review/stand-ins-2/world.cpp
@@ -407,6 +407,15 @@
   }
 }
 
+void Machine::rejoin() {
+  far_nodes.clear();
+  hold_above = 0;
+  for (auto& order : std::exchange(held_orders_, {})) {
+    order.method = "LATE";
+    on_orders(0, order);
+  }
+}
+
 bool Machine::lost_lease() const {
   return hangs && now_ms() - lease_base_ > static_cast<Ms>(world_.deployment.lease_s * 1000);
 }
@@ -435,7 +444,10 @@
     wire::put(w, "tally", tally);
     wire::put(w, "baton", baton);
     w.Key("warningS");
-    w.Null();
+    if (taken_at != 0)
+      w.Double(static_cast<double>(taken_at - now_ms()) / 1000.0);
+    else
+      w.Null();
     w.Key("loads");
     w.StartArray();
     for (const auto& [key, task] : tasks) {
@@ -461,7 +473,7 @@
   next_report_at_ =
       sent_at + static_cast<Ms>(world_.deployment.report_s * 1000 * world_.random(0.75, 1.25));
   std::string text = report_body();
-  if (mute) {
+  if (mute || far_nodes.contains(node_)) {
     world_.after(4, [this, sent_at, sent_shift = shift] { on_reply(sent_at, sent_shift, 0, ""); });
     return;
   }
@@ -616,6 +628,10 @@
     server_->reply(request, 400, "{}", 0);
     return;
   }
+  if (hold_above != 0 && token > hold_above) {
+    held_orders_.push_back(http);
+    return;
+  }
   if (token < baton || for_shift != shift) {
     server_->reply(request, 409, report_body(), 0);
     return;
@@ -627,6 +643,12 @@
 }
 
 void Machine::tick() {
+  if (up && taken_at != 0 && now_ms() >= taken_at) {
+    world_.note("the cloud takes " + id + " back after its notice");
+    stop();
+    gone = true;
+    gone_at = now_ms();
+  }
   if (!up || hangs) return;
   const Ms now = now_ms();
   if (now - lease_base_ > static_cast<Ms>(world_.deployment.lease_s * 1000)) {
@@ -679,7 +701,7 @@
 
 Machine& Cloud::rent(const std::string& type, const std::string& zone, bool spot, bool up_at_once) {
   char name[32];
-  std::snprintf(name, sizeof name, "n-%06u", next_name_++);
+  std::snprintf(name, sizeof name, "n-%0*u", world_.deployment.name_digits, next_name_++);
   const MachineType* found = nullptr;
   for (const auto& t : world_.deployment.types)
     if (t.name == type) found = &t;
@@ -723,7 +745,7 @@
                        wire::put(w, "localGb", 70.0);
                        wire::put(w, "fetchGbPerS", t.fetch_gb_per_s);
                        wire::put(w, "rate", t.price);
-                       wire::put(w, "marketPrice", t.spot_price);
+                       wire::put(w, "marketPrice", t.spot_price * world_.random(0.67, 1.33));
                        wire::put(w, "readyS", t.boot_s);
                        w.Key("yards");
                        w.StartArray();
@@ -1028,7 +1050,7 @@
 std::size_t World::pick_node() {
   for (std::size_t i = 0; i < controllers.size(); ++i) {
     const std::size_t node = next_node_++ % controllers.size();
-    if (controllers[node].healthy) return node;
+    if (controllers[node].healthy && !far_from_users.contains(node)) return node;
   }
   return next_node_++ % controllers.size();
 }
--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -62,6 +62,7 @@
   double cpu_share = 0.12, ram_mb = 104;
   int fd_limit = 3000;
   double clock_off_ms = 25;
+  int name_digits = 6;  // of the machines' names: n-000231
   double state_latency_ms = 4;
   double cloud_latency_ms = 100;
 };
@@ -200,6 +201,8 @@
   // The machine loses its power with all that is on it.
   void stop();
   void hang();
+  // Ends the cut that far_nodes and hold_above describe.
+  void rejoin();
   // A machine that hangs past its lease kills its tasks before anything else when it goes on.
   bool lost_lease() const;
   void go_on();
@@ -207,10 +210,14 @@
   std::string id, zone, endpoint;
   const MachineType& type;
   bool spot = false, up = false, gone = false;
-  bool fails_tasks = false;  // every task that starts fails
-  bool hangs = false;        // executes nothing, and may go on
-  bool deaf = false;         // answers and direct commands to it are lost
-  bool mute = false;         // its reports are lost
+  bool fails_tasks = false;         // every task that starts fails
+  bool hangs = false;               // executes nothing, and may go on
+  bool deaf = false;                // answers and direct commands to it are lost
+  bool mute = false;                // its reports are lost
+  std::set<std::size_t> far_nodes;  // controllers that its reports don't reach
+  // Direct commands with a token above this are held back; 0: none are.
+  std::uint64_t hold_above = 0;
+  Ms taken_at = 0;  // when the cloud takes it back after a notice; 0: not at all
   Ms rented_at = 0, boots_until = 0, died_at = 0, gone_at = 0;
   std::set<std::string> images;
   std::map<TaskKey, Task> tasks;
@@ -234,6 +241,7 @@
   bool in_flight_ = false, changed_ = false;
   Ms hangs_since_ = 0;
   std::vector<std::function<void()>> held_;  // what arrived while it hung
+  std::vector<HttpServer::Request> held_orders_;
 };
 
 // The cloud.
@@ -321,6 +329,7 @@
   std::map<std::pair<std::string, std::uint64_t>, GangRun> gangs;
   std::map<std::string, std::vector<std::pair<Ms, std::string>>> starts;  // by job: when, where
   std::set<std::pair<std::string, unsigned>> done_tasks;
+  std::set<std::size_t> far_from_users;  // controllers that no user reaches
   double late_commands = 0;  // share of direct commands carried out 2 to 16 s late, unanswered
   double late_reports = 0;   // share of reports of which a copy arrives again later
   std::vector<std::string> violations;
