--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -8,7 +8,7 @@
   echo "not built"
   exit 2
 fi
-timeout -k 5 125 "$stand_ins" "$command" "$(dirname "$(realpath "$0")")"
+timeout -k 1 118 "$stand_ins" "$command" "$(dirname "$(realpath "$0")")"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/stand-ins-2/world.cpp
+++ b/review/stand-ins-2/world.cpp
@@ -938,6 +938,7 @@
                     if (c.healthy != (status == 200))
                       note(c.name + (status == 200 ? " is healthy" : " is not healthy"));
                     c.healthy = status == 200;
+                    c.served = c.served || c.healthy;
                   });
   });
   note(trouble ? "a run with the trouble" : "a run without the trouble");
@@ -1043,7 +1044,11 @@
     int status = 0;
     if (c.pid == 0 || waitpid(c.pid, &status, WNOHANG) != c.pid) continue;
     c.pid = 0;
-    broken("crash", c.name + " ended by itself, status " + std::to_string(status));
+    // A program that never served and says why is a run that could not begin.
+    if (WIFEXITED(status) && !c.served)
+      finish(2, c.name + " didn't start, exit code " + std::to_string(WEXITSTATUS(status)));
+    else
+      broken("crash", c.name + " ended by itself, status " + std::to_string(status));
   }
 }
 
--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -274,7 +274,7 @@
 struct Controller {
   std::string name, zone, bind, peer, config, log;
   pid_t pid = 0;
-  bool healthy = false;
+  bool healthy = false, served = false;
 };
 
 struct GangRun {
