Machines are rented where a waiting gang lacks them

Cause: the fleet's size was computed from sums of machines over all zones. Eleven machines were held, as many as the sum asks for, five of them in the gang's zone, which needs six. The condition that all tasks must be in one zone was known to the placement alone.

Ruled out: a placement that doesn't find the machine (there were never six in one zone), a former attempt that isn't released.

Change: before the sums, waiting jobs are tried on empty machines of each kind by the conditions of placement itself, and the zone that is cheapest to complete gets the machines it lacks. Scale-in keeps machines that such a job needs. The cost is bounded by distinct conditions and machine kinds.

--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -1,9 +1,12 @@
 #include "fleet/fleet_coordinator.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "base/resources.h"
 #include "fleet/cloud_inventory.h"
+#include "quota/quota_leases.h"
 #include "wire/messages.h"
 
 namespace scheduler {
@@ -100,16 +103,43 @@
   std::vector<Demand> out;
   for (const auto& [id, job] : context_.replica.jobs()) {
     if (!job.known || job.record.cancelled) continue;
+    const wire::JobSpec& spec = job.record.spec;
     const std::uint64_t done = job.done_tasks();
-    if (done < job.record.spec.tasks)
-      out.push_back({&job.record.spec, job.record.spec.tasks - done});
+    if (done >= spec.tasks) continue;
+    Demand work(&spec, spec.tasks - done);
+    work.placed = job.placed_tasks();
+    work.zone_in_use = zone_in_use(job);
+    work.waits_for_quota = work.placed < work.tasks && waits_for_quota(spec);
+    out.push_back(std::move(work));
   }
   return out;
 }
 
+std::string FleetCoordinator::zone_in_use(const Job& job) const {
+  const wire::JobSpec& spec = job.record.spec;
+  if (!spec.is_service() || !spec.one_zone) return {};
+  for (const auto& [number, range] : job.ranges) {
+    for (const auto& [task, placement] : range.placed)
+      if (const auto* machine = context_.replica.machine(placement.machine)) return machine->zone;
+  }
+  return {};
+}
+
+bool FleetCoordinator::waits_for_quota(const wire::JobSpec& spec) const {
+  const Team* team = context_.team(spec.team);
+  if (!team || !has_quota_limit(*team)) return false;
+  const double tasks = spec.is_gang() ? spec.tasks : 1.0;
+  const Usage usage = context_.replica.usage(spec.team);
+  const auto exceeds = [tasks](double used, double per_task, double limit) {
+    return limit > 0 && per_task > 0 && used + tasks * per_task > limit + kAmountSlack;
+  };
+  return exceeds(usage.cpus, spec.cpus, team->cpus_max) ||
+         exceeds(usage.gpus, spec.gpus, team->gpus_max);
+}
+
 // Machines that are ready or requested from the cloud, by kind.
-std::map<MachineKind, int> FleetCoordinator::held_machines() const {
-  std::map<MachineKind, int> held;
+MachineCounts FleetCoordinator::held_machines() const {
+  MachineCounts held;
   for (const auto& [id, record] : context_.replica.machines()) {
     if (record.state == MachineState::ready) ++held[{record.type, record.zone, record.spot}];
   }
@@ -242,7 +272,7 @@
 }
 
 void FleetCoordinator::scale_out(Ms now, const std::vector<Demand>& demand,
-                                 const std::map<MachineKind, int>& held) {
+                                 const MachineCounts& held) {
   for (auto& request : sizer_.next_scale_out(now, demand, context_.replica.catalog(), held))
     scale_out_requests_.request(std::move(request));
 }
@@ -250,7 +280,7 @@
 // Drains some of the empty machines each second if the surplus has lasted long enough. Without any
 // unfinished job, draining starts sooner and takes more machines at a time.
 void FleetCoordinator::scale_in(Ms now, const std::vector<Demand>& demand,
-                                const std::map<MachineKind, int>& held) {
+                                const MachineCounts& held) {
   const auto surplus = sizer_.surplus(demand, context_.replica.catalog(), held);
   int total = 0;
   for (const auto& [type, count] : surplus) total += std::max(0, count);
@@ -258,21 +288,30 @@
   update_since(idle_since_, demand.empty(), now);
   if (total == 0) return;
   if (idle_since_ != 0 && now - idle_since_ >= kIdleScaleInDelayMs) {
-    drain_empty(surplus, std::max(1, total / kIdleSurplusDivisor));
+    drain_empty(surplus, std::max(1, total / kIdleSurplusDivisor), demand, held);
   } else if (now - surplus_since_ >= kScaleInDelayMs) {
-    drain_empty(surplus, std::max(1, total / kSurplusDivisor));
+    drain_empty(surplus, std::max(1, total / kSurplusDivisor), demand, held);
   }
 }
 
-void FleetCoordinator::drain_empty(std::map<std::string, int> surplus, int count) {
+void FleetCoordinator::drain_empty(std::map<std::string, int> surplus, int count,
+                                   const std::vector<Demand>& demand, MachineCounts held) {
+  std::set<MachineKind> kept;
   for (const auto& [id, record] : context_.replica.machines()) {
     if (count == 0) return;
     const auto of_type = surplus.find(record.type);
     if (of_type == surplus.end() || of_type->second <= 0) continue;
     const bool usable = record.incarnation != 0 && record.state == MachineState::ready;
     if (!usable || !context_.replica.placed_on(id).empty()) continue;
+    const MachineKind kind{record.type, record.zone, record.spot};
+    if (kept.contains(kind)) continue;
+    if (FleetSizer::needed_by_waiting_work(kind, demand, context_.replica.catalog(), held)) {
+      kept.insert(kind);
+      continue;
+    }
     context_.log(LogLevel::info, "returning idle machine " + id);
     record_writer_.set_state(id, record, MachineState::draining);
+    --held[kind];
     --of_type->second;
     --count;
   }
--- a/src/fleet/fleet_coordinator.h
+++ b/src/fleet/fleet_coordinator.h
@@ -38,7 +38,11 @@
  private:
   [[nodiscard]] bool is_leader() const { return context_.is_leader_of(kFleetDuty); }
   [[nodiscard]] std::vector<Demand> job_demand() const;
-  [[nodiscard]] std::map<MachineKind, int> held_machines() const;
+  // The zone of the placed replicas of a service that must be in one zone; empty if there is none.
+  [[nodiscard]] std::string zone_in_use(const Job& job) const;
+  // Whether the team's limit is too far used for a task of the job, or for the whole gang.
+  [[nodiscard]] bool waits_for_quota(const wire::JobSpec& spec) const;
+  [[nodiscard]] MachineCounts held_machines() const;
 
   void read_catalog(Ms now);
   void on_catalog(Ms now, const HttpResult& http_result);
@@ -50,10 +54,12 @@
   void check_unlisted(Ms now);
 
   void resize(Ms now);
-  void scale_out(Ms now, const std::vector<Demand>& demand, const std::map<MachineKind, int>& held);
-  void scale_in(Ms now, const std::vector<Demand>& demand, const std::map<MachineKind, int>& held);
+  void scale_out(Ms now, const std::vector<Demand>& demand, const MachineCounts& held);
+  void scale_in(Ms now, const std::vector<Demand>& demand, const MachineCounts& held);
   // Drains up to `count` machines without tasks, of the types in `surplus` with a positive count.
-  void drain_empty(std::map<std::string, int> surplus, int count);
+  // Machines that waiting jobs need are kept.
+  void drain_empty(std::map<std::string, int> surplus, int count, const std::vector<Demand>& demand,
+                   MachineCounts held);
   void on_scaled_out(Ms now, const wire::ScaleOutRequest& request,
                      const std::vector<std::string>& machines);
 
--- a/src/fleet/fleet_sizer.cpp
+++ b/src/fleet/fleet_sizer.cpp
@@ -20,6 +20,9 @@
 constexpr std::uint32_t kMaxMachinesPerScaleOut = 50;
 // Most simultaneous requests for one kind of machine; further ones wait until these are answered.
 constexpr std::uint32_t kMaxScaleOutsPerKind = 3;
+// Most machines of one kind that are requested at the same time.
+constexpr int kMaxMachinesPerKind =
+    static_cast<int>(kMaxMachinesPerScaleOut * kMaxScaleOutsPerKind);
 
 }  // namespace
 
@@ -101,13 +104,13 @@
 
 // Machines to rent in addition to those held, by kind.
 struct FleetSizer::ScaleOutPlan {
-  std::map<MachineKind, int> counts;  // held, plus those planned so far
-  std::map<MachineKind, int> to_rent;
+  MachineCounts counts;  // held, plus those planned so far
+  MachineCounts to_rent;
   // By type: whether some job for it may use spot machines.
   std::map<std::string, bool> allows_spot;
 };
 
-double FleetSizer::matching_count(const Need& need, const std::map<MachineKind, int>& counts) {
+double FleetSizer::matching_count(const Need& need, const MachineCounts& counts) {
   double matching = 0;
   for (const auto& [kind, count] : counts) {
     if (kind.type == need.type && (need.zone.empty() || kind.zone == need.zone) &&
@@ -120,8 +123,6 @@
 std::optional<MachineKind> FleetSizer::next_kind(Ms now, const Need& need,
                                                  const wire::MachineType& type,
                                                  ScaleOutPlan& plan) const {
-  constexpr int kMaxMachinesPerKind =
-      static_cast<int>(kMaxMachinesPerScaleOut * kMaxScaleOutsPerKind);
   std::optional<MachineKind> best;
   // Prefers machines other than spot, since they are not preempted, and then the zone with the
   // fewest machines of the type.
@@ -137,15 +138,33 @@
   return best;
 }
 
+void FleetSizer::plan_for_waiting_work(Ms now, const std::vector<Demand>& demand,
+                                       const std::vector<wire::MachineType>& catalog,
+                                       ScaleOutPlan& plan) const {
+  const PlacementModel model(catalog);
+  const auto is_available = [&](const MachineKind& kind) {
+    return !is_refused(now, kind) && plan.to_rent[kind] < kMaxMachinesPerKind;
+  };
+  for (const auto& requirement : waiting_requirements(demand)) {
+    for (const auto& [kind, count] :
+         model.machines_to_add(requirement, plan.counts, is_available)) {
+      const int added = std::min(count, kMaxMachinesPerKind - plan.to_rent[kind]);
+      plan.counts[kind] += added;
+      plan.to_rent[kind] += added;
+    }
+  }
+}
+
 std::vector<wire::ScaleOutRequest> FleetSizer::next_scale_out(
     Ms now, const std::vector<Demand>& demand, const std::vector<wire::MachineType>& catalog,
-    const std::map<MachineKind, int>& held) const {
+    const MachineCounts& held) const {
   ScaleOutPlan plan;
   plan.counts = held;
   for (const auto& work : demand) {
     if (const auto* type = cheapest_type_for(*work.job, catalog))
       plan.allows_spot[type->name] |= work.job->spot;
   }
+  plan_for_waiting_work(now, demand, catalog, plan);
   for (const Need& need : needs(demand, catalog)) {
     const auto type = std::find_if(catalog.begin(), catalog.end(), [&need](const auto& candidate) {
       return candidate.name == need.type;
@@ -171,7 +190,7 @@
 
 std::map<std::string, int> FleetSizer::surplus(const std::vector<Demand>& demand,
                                                const std::vector<wire::MachineType>& catalog,
-                                               const std::map<MachineKind, int>& held) const {
+                                               const MachineCounts& held) const {
   std::map<std::string, double> wanted;
   for (const Need& need : needs(demand, catalog))
     if (need.zone.empty() && !need.non_spot_only) wanted[need.type] = need.machines;
@@ -184,4 +203,20 @@
   return out;
 }
 
+bool FleetSizer::needed_by_waiting_work(const MachineKind& kind, const std::vector<Demand>& demand,
+                                        const std::vector<wire::MachineType>& catalog,
+                                        MachineCounts held) {
+  const PlacementModel model(catalog);
+  const auto requirements = waiting_requirements(demand);
+  std::vector<double> missing;
+  missing.reserve(requirements.size());
+  for (const auto& requirement : requirements)
+    missing.push_back(model.missing_tasks(requirement, held));
+  --held[kind];
+  for (std::size_t i = 0; i < requirements.size(); ++i) {
+    if (model.missing_tasks(requirements[i], held) > missing[i]) return true;
+  }
+  return false;
+}
+
 }  // namespace scheduler
--- a/src/fleet/fleet_sizer.h
+++ b/src/fleet/fleet_sizer.h
@@ -5,10 +5,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 #include "base/types.h"
+#include "fleet/machine_kind.h"
+#include "fleet/waiting_work.h"
 #include "wire/records.h"
 
 namespace scheduler {
@@ -20,19 +21,6 @@
 // so it must be equal in the version in production and in this one.
 constexpr std::string_view kFleetDuty = "cloud";
 
-// The attributes of machines that a scale-out request names.
-struct MachineKind {
-  std::string type, zone;
-  bool spot = false;
-  auto operator<=>(const MachineKind&) const = default;
-};
-
-// The number of tasks of an unfinished job for which machines are needed.
-struct Demand {
-  const wire::JobSpec* job = nullptr;
-  std::uint64_t tasks = 0;  // unfinished
-};
-
 class FleetSizer {
  public:
   explicit FleetSizer(const Settings& settings) : settings_(settings) {}
@@ -53,23 +41,34 @@
   // to a zone or may not use spot machines counts in the matching specific needs as well.
   [[nodiscard]] std::vector<Need> needs(const std::vector<Demand>& demand,
                                         const std::vector<wire::MachineType>& catalog) const;
-  // The requests to send now, limited to a few per kind. `held` counts the machines that are ready
-  // or requested already. Kinds that the cloud refused recently are left out.
+  // The requests to send now, limited to a few per kind: machines without which waiting jobs can't
+  // run (fleet/waiting_work.h), and then those that the needs lack in number. `held` counts the
+  // machines that are ready or requested already. Kinds that the cloud refused recently are left
+  // out.
   [[nodiscard]] std::vector<wire::ScaleOutRequest> next_scale_out(
       Ms now, const std::vector<Demand>& demand, const std::vector<wire::MachineType>& catalog,
-      const std::map<MachineKind, int>& held) const;
+      const MachineCounts& held) const;
   // Machines held beyond the need, by type and summed over zones; negative if machines are missing.
   [[nodiscard]] std::map<std::string, int> surplus(const std::vector<Demand>& demand,
                                                    const std::vector<wire::MachineType>& catalog,
-                                                   const std::map<MachineKind, int>& held) const;
+                                                   const MachineCounts& held) const;
+  // Whether waiting jobs would lack machines if one machine of this kind were returned.
+  [[nodiscard]] static bool needed_by_waiting_work(const MachineKind& kind,
+                                                   const std::vector<Demand>& demand,
+                                                   const std::vector<wire::MachineType>& catalog,
+                                                   MachineCounts held);
   void on_refused(Ms now, const MachineKind& kind);
 
  private:
   struct ScaleOutPlan;
 
   [[nodiscard]] bool is_refused(Ms now, const MachineKind& kind) const;
+  // Adds the machines without which waiting jobs can't run.
+  void plan_for_waiting_work(Ms now, const std::vector<Demand>& demand,
+                             const std::vector<wire::MachineType>& catalog,
+                             ScaleOutPlan& plan) const;
   // Number of machines among `counts` that count for the need.
-  static double matching_count(const Need& need, const std::map<MachineKind, int>& counts);
+  static double matching_count(const Need& need, const MachineCounts& counts);
   // The kind of the next machine to rent for the need; std::nullopt if no more may be requested.
   std::optional<MachineKind> next_kind(Ms now, const Need& need, const wire::MachineType& type,
                                        ScaleOutPlan& plan) const;
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -25,17 +25,18 @@
   void add_machines(int count) {
     constexpr int kPerGroup = 50;
     for (int first = 0; first < count; first += kPerGroup)
-      add_group(first / kPerGroup, first, std::min(count, first + kPerGroup));
+      add_machines_in("a", first / kPerGroup, first, std::min(kPerGroup, count - first));
   }
 
-  void add_group(int group, int first, int end) {
+  // Adds machines in a zone, numbered from `first`, that run and are recorded as ready.
+  void add_machines_in(const std::string& zone, int group, int first, int count) {
     wire::FleetRecord fleet;
     wire::ShardRecord part;
-    for (int i = first; i < end; ++i) {
+    for (int i = first; i < first + count; ++i) {
       const std::string id = "n-" + std::to_string(1000 + i);
       wire::MachineRecord record;
       record.type = "g";
-      record.zone = "a";
+      record.zone = zone;
       record.address = id + ":1";
       fleet.machines[id] = record;
       part.machines[id] = {record.address, 1, MachineState::ready, 1};
@@ -46,6 +47,20 @@
     put(wire::shard_key(kControllerName, number), encode(part));
   }
 
+  // Adds a gang whose tasks each fill one machine and must be in one zone.
+  void add_one_zone_gang(std::uint32_t tasks) {
+    const auto spec = wire::parse_job(
+        R"({"id":"req-000002","queue":"c","crew":"t","shape":"ensemble","rank":"standard","loads":)" +
+        std::to_string(tasks) +
+        R"(,"cpus":4.0,"gpus":0.0,"memGb":4.0,"kit":"i","pullGb":0.1,"together":true,)"
+        R"("scatter":false,"standby":false,"haulS":600.0,"tipS":0.0,"stowS":0.0})");
+    ASSERT_TRUE(spec) << spec.error().text();
+    wire::JobRecord job;
+    job.spec = *spec;
+    job.initial_ranges = {{0, 0, tasks, kControllerName}};
+    put(wire::job_key(job.spec.id), encode(job));
+  }
+
   // Adds an array job whose tasks each fill one machine and run for ten minutes.
   void add_job(std::uint32_t tasks) {
     const std::string body =
@@ -170,6 +185,42 @@
   EXPECT_FALSE(state_.items.contains(wire::scale_out_key(document["hire"].GetString())));
 }
 
+// Guards against a waiting gang for which no machine is requested in any zone (review/5).
+TEST_F(FleetCoordinatorTest, MachinesAreRequestedWhereAWaitingGangLacksThem) {
+  cloud_.zones = {"a", "b", "c", "d"};
+  add_machines_in("a", 1, 100, 5);
+  add_machines_in("b", 2, 200, 3);
+  add_machines_in("c", 3, 300, 3);
+  add_one_zone_gang(6);
+  advance(5000);
+  ASSERT_FALSE(scale_outs_.empty());
+  EXPECT_NE(scale_outs_.front().find(R"("yard":"a")"), std::string::npos) << scale_outs_.front();
+  EXPECT_NE(scale_outs_.front().find(R"("number":1)"), std::string::npos) << scale_outs_.front();
+}
+
+TEST_F(FleetCoordinatorTest, NothingIsRequestedForAGangThatWaitsForItsTeamsLimit) {
+  settings_.teams = {{"t", 0, 20, 0, 0}};  // the gang takes 24 CPUs
+  cloud_.zones = {"a", "b", "c", "d"};
+  add_machines_in("a", 1, 100, 5);
+  add_machines_in("b", 2, 200, 3);
+  add_machines_in("c", 3, 300, 3);
+  add_one_zone_gang(6);
+  advance(5000);
+  EXPECT_TRUE(scale_outs_.empty());
+}
+
+// Machines that are returned although a waiting gang needs them would be rented again.
+TEST_F(FleetCoordinatorTest, MachinesThatAWaitingGangNeedsAreNotReturned) {
+  cloud_.zones = {"a", "b", "c", "d"};
+  add_machines_in("a", 1, 100, 6);
+  add_machines_in("b", 2, 200, 5);
+  add_machines_in("c", 3, 300, 5);
+  add_one_zone_gang(6);
+  advance(kScaleInDelayMs + 60'000);
+  EXPECT_EQ(returned_.size(), 5U);  // the gang needs 6, and 50% headroom and 2 spare machines count
+  for (const auto& id : returned_) EXPECT_GE(id, "n-1200") << "a machine of zone a";
+}
+
 TEST_F(FleetCoordinatorTest, UnexpectedMachinesAreAdoptedAndFailedOnesReturned) {
   cloud_.machines = {{"n-700", "running"}, {"n-701", "failed"}};
   advance(3000);
--- a/tests/support/fake_cloud.h
+++ b/tests/support/fake_cloud.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "base/types.h"
 #include "sim/fake_state_service.h"
@@ -10,17 +11,22 @@
 
 namespace scheduler {
 
-// A cloud with one zone, "a", and one machine type, "g". It runs the given machines and has no
-// capacity for others.
+// A cloud with one machine type, "g". It runs the given machines, which it lists in zone "a", and
+// has no capacity for others.
 struct FakeCloud {
   int cpus = 8;  // CPUs of the machine type
   int memory_gb = 32;
   std::map<std::string, std::string> machines;  // status in the cloud's list, by machine id
+  std::vector<std::string> zones{"a"};          // in which machines may be requested
 
   [[nodiscard]] std::string catalog() const {
+    std::string zone_names;
+    for (const auto& zone : zones)
+      zone_names += std::string(zone_names.empty() ? "" : ",") + '"' + zone + '"';
     return R"({"fleets":[{"label":"g","cpus":)" + std::to_string(cpus) + R"(,"gpus":0,"memGb":)" +
            std::to_string(memory_gb) +
-           R"(,"localGb":50,"fetchGbPerS":1,"rate":1,"marketPrice":0.3,"readyS":3,"yards":["a"]}]})";
+           R"(,"localGb":50,"fetchGbPerS":1,"rate":1,"marketPrice":0.3,"readyS":3,"yards":[)" +
+           zone_names + "]}]}";
   }
 
   [[nodiscard]] std::string list() const {
--- /dev/null
+++ b/tests/waiting_work_test.cpp
@@ -0,0 +1,161 @@
+// Tests of renting machines for waiting jobs that the fleet can't run although it has enough
+// machines in number.
+#include "fleet/waiting_work.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "fleet/fleet_sizer.h"
+
+namespace scheduler {
+namespace {
+
+class WaitingWorkTest : public testing::Test {
+ protected:
+  static wire::MachineType machine_type(const std::string& name, double price) {
+    wire::MachineType type;
+    type.name = name;
+    type.cpus = 16;
+    type.memory_gb = 32;
+    type.price = price;
+    type.zones = {"a", "b", "c", "d"};
+    return type;
+  }
+
+  // A job whose tasks each take a whole machine.
+  static wire::JobSpec job(wire::JobShape shape, std::uint32_t tasks) {
+    wire::JobSpec spec;
+    spec.id = "req-000501";
+    spec.shape = shape;
+    spec.tasks = tasks;
+    spec.cpus = 15;
+    spec.memory_gb = 26;
+    spec.estimate_s = 30;
+    return spec;
+  }
+
+  static wire::JobSpec one_zone_gang(std::uint32_t tasks) {
+    wire::JobSpec spec = job(wire::JobShape::gang, tasks);
+    spec.one_zone = true;
+    return spec;
+  }
+
+  // The number of machines to request for these jobs now, by kind.
+  [[nodiscard]] MachineCounts requested(const std::vector<Demand>& demand, Ms now = 0) const {
+    MachineCounts out;
+    for (const auto& request : sizer_.next_scale_out(now, demand, catalog_, held_))
+      out[{request.type, request.zone, request.spot}] += static_cast<int>(request.count);
+    return out;
+  }
+
+  // Requests machines until no more are requested; returns their number. Every request is filled.
+  int rent_until_satisfied(const std::vector<Demand>& demand) {
+    constexpr int kMaxDecisions = 50;
+    int rented = 0;
+    for (int decision = 0; decision < kMaxDecisions; ++decision) {
+      const MachineCounts machines = requested(demand);
+      if (machines.empty()) return rented;
+      for (const auto& [kind, count] : machines) {
+        held_[kind] += count;
+        rented += count;
+      }
+    }
+    ADD_FAILURE() << "machines are rented without end";
+    return rented;
+  }
+
+  [[nodiscard]] int held_in(const std::string& zone) const {
+    int count = 0;
+    for (const auto& [kind, machines] : held_) count += kind.zone == zone ? machines : 0;
+    return count;
+  }
+
+  Settings settings_;
+  FleetSizer sizer_{settings_};
+  std::vector<wire::MachineType> catalog_{machine_type("box", 0.5)};
+  MachineCounts held_;
+};
+
+// Guards against a gang bound to one zone that waits forever because no zone alone has enough
+// machines, although the fleet has enough in number (review/5).
+TEST_F(WaitingWorkTest, GangBoundToOneZoneGetsTheMachineThatItsZoneLacks) {
+  held_ = {{{"box", "a", false}, 5},
+           {{"box", "b", false}, 2},
+           {{"box", "c", false}, 2},
+           {{"box", "d", false}, 2}};
+  const wire::JobSpec gang = one_zone_gang(6);
+  EXPECT_EQ(requested({{&gang, 6}}), (MachineCounts{{{"box", "a", false}, 1}}));
+}
+
+TEST_F(WaitingWorkTest, GangBoundToOneZoneFitsIntoANewFleet) {
+  const wire::JobSpec gang = one_zone_gang(16);
+  // 16 machines, 50% headroom and 2 spare machines, as for a gang without the condition.
+  EXPECT_EQ(rent_until_satisfied({{&gang, 16}}), 26);
+  EXPECT_GE(std::max({held_in("a"), held_in("b"), held_in("c"), held_in("d")}), 16);
+}
+
+// The zone that lacks the fewest machines has none left to rent.
+TEST_F(WaitingWorkTest, GangGetsAnotherZoneIfItsZoneIsUsedUp) {
+  held_ = {{{"box", "a", false}, 5}, {{"box", "b", false}, 3}, {{"box", "c", false}, 3}};
+  sizer_.on_refused(0, {"box", "a", false});
+  const wire::JobSpec gang = one_zone_gang(6);
+  const MachineCounts machines = requested({{&gang, 6}});
+  EXPECT_EQ(machines, (MachineCounts{{{"box", "b", false}, 3}}));
+}
+
+// Waiting gangs of one kind run one after another, so that they need one zone with enough machines.
+TEST_F(WaitingWorkTest, WaitingGangsDoNotGrowEveryZone) {
+  const wire::JobSpec gang = one_zone_gang(6);
+  held_ = {{{"box", "a", false}, 6}, {{"box", "b", false}, 20}, {{"box", "c", false}, 20}};
+  const std::vector<Demand> demand(10, {&gang, 6});
+  EXPECT_LE(rent_until_satisfied(demand), 46);  // 60 machines, 50% headroom and 2, less those held
+}
+
+TEST_F(WaitingWorkTest, NothingIsRentedForAGangThatNoMachineCanTake) {
+  wire::JobSpec too_large = one_zone_gang(6);
+  too_large.cpus = 17;
+  wire::JobSpec other_zone = one_zone_gang(6);
+  other_zone.zone = "e";
+  wire::JobSpec other_type = one_zone_gang(6);
+  other_type.types = {"unknown"};
+  EXPECT_TRUE(requested({{&too_large, 6}, {&other_zone, 6}, {&other_type, 6}}).empty());
+}
+
+TEST_F(WaitingWorkTest, NothingIsAddedForAGangThatWaitsForItsTeamsLimit) {
+  held_ = {{{"box", "a", false}, 5}, {{"box", "b", false}, 5}, {{"box", "c", false}, 1}};
+  const wire::JobSpec gang = one_zone_gang(6);
+  Demand demand{&gang, 6};
+  demand.waits_for_quota = true;
+  EXPECT_TRUE(requested({demand}).empty());
+  demand.waits_for_quota = false;
+  EXPECT_FALSE(requested({demand}).empty());
+}
+
+// The other replicas of the service stay where they are, so that no other zone can be used.
+TEST_F(WaitingWorkTest, ServiceInOneZoneGetsMachinesInTheZoneOfItsOtherReplicas) {
+  held_ = {{{"box", "a", false}, 2}, {{"box", "b", false}, 9}};
+  wire::JobSpec service = job(wire::JobShape::service, 4);
+  service.one_zone = true;
+  Demand demand{&service, 4};
+  demand.placed = 2;
+  demand.zone_in_use = "a";
+  EXPECT_EQ(requested({demand}), (MachineCounts{{{"box", "a", false}, 2}}));
+}
+
+// A machine that is returned although waiting work needs it would be rented again at once.
+TEST_F(WaitingWorkTest, MachinesThatAWaitingGangNeedsAreKept) {
+  held_ = {{{"box", "a", false}, 6}, {{"box", "b", false}, 5}};
+  const wire::JobSpec gang = one_zone_gang(6);
+  const MachineKind in_a{"box", "a", false};
+  const MachineKind in_b{"box", "b", false};
+  EXPECT_TRUE(FleetSizer::needed_by_waiting_work(in_a, {{&gang, 6}}, catalog_, held_));
+  EXPECT_FALSE(FleetSizer::needed_by_waiting_work(in_b, {{&gang, 6}}, catalog_, held_));
+  Demand running{&gang, 6};
+  running.placed = 6;
+  EXPECT_FALSE(FleetSizer::needed_by_waiting_work(in_a, {running}, catalog_, held_));
+}
+
+}  // namespace
+}  // namespace scheduler
