Machines are rented in another zone for work that is spread over zones

No machine was asked for, in any zone.

Cause: of the same class as the gang without a zone. The sum of machines is met by the zone that is left, which may take half of the replicas alone; the sum knew nothing of this condition.

Change: in the trial on empty machines a zone counts for at most half of the tasks, and what is missing is rented where it may run. Services get what the available zones may take; gangs all or nothing.

Tests: ServiceSpreadOverZonesGetsMachinesInAnotherZone, MachinesAreRequestedInAnotherZoneForASpreadService and three more failed before the change.

--- a/src/fleet/waiting_work.cpp
+++ b/src/fleet/waiting_work.cpp
@@ -18,18 +18,18 @@
 // The conditions of a requirement; requirements that differ only in the number of tasks have equal
 // ones.
 using Conditions = std::tuple<double, double, double, std::vector<std::string>, std::string, bool,
-                              bool, bool, bool>;
+                              bool, bool, bool, bool>;
 
 Conditions conditions_of(const PlacementRequirement& requirement) {
   const wire::JobSpec& job = *requirement.job;
-  return {job.cpus,     job.gpus, job.memory_gb, job.types,       requirement.zone,
-          job.one_zone, job.spot, job.is_gang(), job.is_service()};
+  return {job.cpus,     job.gpus,   job.memory_gb, job.types,     requirement.zone,
+          job.one_zone, job.spread, job.spot,      job.is_gang(), job.is_service()};
 }
 
 std::optional<PlacementRequirement> requirement_of(const Demand& demand) {
   const wire::JobSpec& job = *demand.job;
   if (demand.placed >= demand.tasks || demand.waits_for_quota) return std::nullopt;
-  if (!job.one_zone) return std::nullopt;
+  if (!job.one_zone && !job.spread) return std::nullopt;
   const std::string& zone = demand.zone_in_use.empty() ? job.zone : demand.zone_in_use;
   if (job.is_gang() || job.is_service()) return PlacementRequirement{&job, zone, job.tasks};
   // The tasks of an array may run one after another.
@@ -111,7 +111,7 @@
   const wire::JobSpec& job = *requirement.job;
   TaskRoom room;
   room.tasks = static_cast<double>(requirement.tasks);
-  room.max_per_zone = room.tasks;
+  room.max_per_zone = job.spread ? std::ceil(job.tasks / 2.0) : room.tasks;
   for (const auto& [kind, count] : machines) {
     if (zones.contains(kind.zone)) room.by_zone[kind.zone] += count * tasks_per_machine(job, kind);
   }
--- a/src/fleet/waiting_work.h
+++ b/src/fleet/waiting_work.h
@@ -2,7 +2,8 @@
 // machines to rent for them.
 //
 // The total demand (fleet_sizer.h) doesn't show such jobs: a gang whose tasks must be in one zone
-// needs enough machines in that zone, however many the fleet has in all. A job is therefore tried
+// needs enough machines in that zone, and a service that is spread over zones needs machines in
+// several, however many the fleet has in all. A job is therefore tried
 // on empty machines of each kind, by the conditions that placement itself applies. The cost depends
 // on the numbers of distinct requirements and of machine kinds, not on those of tasks and machines.
 #pragma once
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -48,12 +48,19 @@
   }
 
   // Adds a gang whose tasks each fill one machine and must be in one zone.
-  void add_one_zone_gang(std::uint32_t tasks) {
+  void add_one_zone_gang(std::uint32_t tasks) { add_job_of("ensemble", tasks, true, false); }
+
+  // Adds a service whose replicas each fill one machine and must be spread over zones.
+  void add_spread_service(std::uint32_t replicas) { add_job_of("daemon", replicas, false, true); }
+
+  void add_job_of(const std::string& shape, std::uint32_t tasks, bool one_zone, bool spread) {
+    const auto json = [](bool value) { return value ? "true" : "false"; };
     const auto spec = wire::parse_job(
-        R"({"id":"req-000002","queue":"c","crew":"t","shape":"ensemble","rank":"standard","loads":)" +
-        std::to_string(tasks) +
-        R"(,"cpus":4.0,"gpus":0.0,"memGb":4.0,"kit":"i","pullGb":0.1,"together":true,)"
-        R"("scatter":false,"standby":false,"haulS":600.0,"tipS":0.0,"stowS":0.0})");
+        R"({"id":"req-000002","queue":"c","crew":"t","rank":"standard","shape":")" + shape +
+        R"(","loads":)" + std::to_string(tasks) + R"(,"together":)" + json(one_zone) +
+        R"(,"scatter":)" + json(spread) + R"(,"haulS":)" + (shape == "daemon" ? "0.0" : "600.0") +
+        R"(,"cpus":4.0,"gpus":0.0,"memGb":4.0,"kit":"i","pullGb":0.1,"standby":false,)"
+        R"("tipS":0.0,"stowS":0.0})");
     ASSERT_TRUE(spec) << spec.error().text();
     wire::JobRecord job;
     job.spec = *spec;
@@ -198,6 +205,18 @@
   EXPECT_NE(scale_outs_.front().find(R"("number":1)"), std::string::npos) << scale_outs_.front();
 }
 
+// Guards against a service that stays at half of its replicas because one zone has all machines
+// (review/6).
+TEST_F(FleetCoordinatorTest, MachinesAreRequestedInAnotherZoneForASpreadService) {
+  cloud_.zones = {"a", "b"};
+  add_machines_in("b", 1, 100, 8);
+  add_spread_service(4);
+  advance(5000);
+  ASSERT_FALSE(scale_outs_.empty());
+  EXPECT_NE(scale_outs_.front().find(R"("yard":"a")"), std::string::npos) << scale_outs_.front();
+  EXPECT_NE(scale_outs_.front().find(R"("number":2)"), std::string::npos) << scale_outs_.front();
+}
+
 TEST_F(FleetCoordinatorTest, NothingIsRequestedForAGangThatWaitsForItsTeamsLimit) {
   settings_.teams = {{"t", 0, 20, 0, 0}};  // the gang takes 24 CPUs
   cloud_.zones = {"a", "b", "c", "d"};
--- a/tests/waiting_work_test.cpp
+++ b/tests/waiting_work_test.cpp
@@ -144,6 +144,64 @@
   EXPECT_EQ(requested({demand}), (MachineCounts{{{"box", "a", false}, 2}}));
 }
 
+// Guards against a service that stays at half of its replicas because only one zone has machines,
+// although that zone has enough in number (review/6).
+TEST_F(WaitingWorkTest, ServiceSpreadOverZonesGetsMachinesInAnotherZone) {
+  held_ = {{{"box", "b", false}, 8}};
+  wire::JobSpec service = job(wire::JobShape::service, 4);
+  service.spread = true;
+  Demand demand{&service, 4};
+  demand.placed = 2;
+  EXPECT_EQ(requested({demand}), (MachineCounts{{{"box", "a", false}, 2}}));
+}
+
+TEST_F(WaitingWorkTest, SpreadServiceUsesTheZonesThatAreNotUsedUp) {
+  held_ = {{{"box", "b", false}, 8}};
+  sizer_.on_refused(0, {"box", "a", false});
+  sizer_.on_refused(0, {"box", "c", false});
+  wire::JobSpec service = job(wire::JobShape::service, 4);
+  service.spread = true;
+  EXPECT_EQ(requested({{&service, 4}}), (MachineCounts{{{"box", "d", false}, 2}}));
+}
+
+// Some replicas more are better than none; a gang could not use a part of its machines.
+TEST_F(WaitingWorkTest, SpreadServiceWithoutASecondZoneGetsWhatTheFirstMayTake) {
+  wire::JobSpec service = job(wire::JobShape::service, 5);
+  service.spread = true;
+  const Demand demand{&service, 5};
+  const auto requirements = waiting_requirements({demand});
+  ASSERT_EQ(requirements.size(), 1U);
+  const PlacementModel model(catalog_);
+  const auto only_in_a = [](const MachineKind& kind) { return kind.zone == "a"; };
+  EXPECT_EQ(model.machines_to_add(requirements.front(), {}, only_in_a),
+            (MachineCounts{{{"box", "a", false}, 3}}));
+  wire::JobSpec gang = service;
+  gang.shape = wire::JobShape::gang;
+  EXPECT_TRUE(model.machines_to_add({&gang, "", 5}, {}, only_in_a).empty());
+}
+
+TEST_F(WaitingWorkTest, SpreadGangGetsMachinesInTwoZones) {
+  held_ = {{{"box", "b", false}, 14}};
+  wire::JobSpec gang = job(wire::JobShape::gang, 5);
+  gang.spread = true;
+  EXPECT_EQ(requested({{&gang, 5}}), (MachineCounts{{{"box", "a", false}, 2}}));
+}
+
+// Half of the tasks of an array may run in one zone, and the others after them.
+TEST_F(WaitingWorkTest, SpreadArrayNeedsNoSecondZone) {
+  held_ = {{{"box", "b", false}, 30}};
+  wire::JobSpec array = job(wire::JobShape::array, 9);
+  array.spread = true;
+  EXPECT_TRUE(requested({{&array, 9}}).empty());
+}
+
+// A condition that nothing can meet must not cause requests without end.
+TEST_F(WaitingWorkTest, ServiceInOneZoneThatMustBeSpreadIsRentedForOnce) {
+  wire::JobSpec service = job(wire::JobShape::service, 4);
+  service.one_zone = service.spread = true;
+  EXPECT_EQ(rent_until_satisfied({{&service, 4}}), 8);
+}
+
 // A machine that is returned although waiting work needs it would be rented again at once.
 TEST_F(WaitingWorkTest, MachinesThatAWaitingGangNeedsAreKept) {
   held_ = {{{"box", "a", false}, 6}, {{"box", "b", false}, 5}};
