Another machine type is rented while the cheapest is used up

Cause: a job counted for one type, chosen by price alone. Refused zones and kinds were passed over, a refused type never.

Ruled out: refusals that hide the other type's kinds, and a request under way that holds the others back (a kind was asked for every 15 s).

Change: each waiting job is tried on empty machines, and the cheapest kind that isn't used up is rented. A refused kind counts as used up for 15 s, twice as long with each further refusal, up to 240 s. In the sums, the tasks that the held machines of a used-up type can't take count for the next type, without headroom.

Tests: AnotherTypeIsRentedWhileTheCheapestIsUsedUp and three more of WaitingWorkTest failed before the change.

--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -281,7 +281,7 @@
 // unfinished job, draining starts sooner and takes more machines at a time.
 void FleetCoordinator::scale_in(Ms now, const std::vector<Demand>& demand,
                                 const MachineCounts& held) {
-  const auto surplus = sizer_.surplus(demand, context_.replica.catalog(), held);
+  const auto surplus = sizer_.surplus(now, demand, context_.replica.catalog(), held);
   int total = 0;
   for (const auto& [type, count] : surplus) total += std::max(0, count);
   update_since(surplus_since_, total > 0, now);
--- a/src/fleet/fleet_sizer.cpp
+++ b/src/fleet/fleet_sizer.cpp
@@ -45,69 +45,133 @@
   return std::ceil(tasks / rounds);
 }
 
-const wire::MachineType* FleetSizer::cheapest_type_for(
-    const wire::JobSpec& job, const std::vector<wire::MachineType>& catalog) {
-  const wire::MachineType* best = nullptr;
-  double best_price = 0;
+namespace {
+
+// A machine type that can take tasks of a job.
+struct TypeForJob {
+  const wire::MachineType* type = nullptr;
+  double tasks_per_machine = 0;
+
+  [[nodiscard]] double price_per_task() const { return type->price / tasks_per_machine; }
+};
+
+// The types that the job may use, the lowest price per task first.
+std::vector<TypeForJob> types_by_price(const wire::JobSpec& job,
+                                       const std::vector<wire::MachineType>& catalog) {
+  std::vector<TypeForJob> out;
   for (const auto& type : catalog) {
-    if (!job.types.empty() &&
-        std::find(job.types.begin(), job.types.end(), type.name) == job.types.end())
-      continue;
-    if (!job.zone.empty() &&
-        std::find(type.zones.begin(), type.zones.end(), job.zone) == type.zones.end())
-      continue;
+    const bool in_zone =
+        std::any_of(type.zones.begin(), type.zones.end(),
+                    [&](const std::string& zone) { return allowed(job, type.name, zone, false); });
     const double tasks_per_machine = fit_count(resources_of(job), resources_of(type));
-    if (tasks_per_machine < 1) continue;
-    const double price = type.price / tasks_per_machine;
-    if (!best || price < best_price) {
-      best = &type;
-      best_price = price;
-    }
+    if (in_zone && tasks_per_machine >= 1) out.push_back({&type, tasks_per_machine});
   }
-  return best;
+  std::stable_sort(out.begin(), out.end(), [](const TypeForJob& a, const TypeForJob& b) {
+    return a.price_per_task() < b.price_per_task();
+  });
+  return out;
 }
 
-std::vector<FleetSizer::Need> FleetSizer::needs(
-    const std::vector<Demand>& demand, const std::vector<wire::MachineType>& catalog) const {
-  // Key: type, whether any zone counts, zone, whether spot machines count. false sorts before true,
-  // so specific needs come before general ones.
-  std::map<std::tuple<std::string, bool, std::string, bool>, double> sums;
-  for (const auto& work : demand) {
-    const auto* machine_type = cheapest_type_for(*work.job, catalog);
-    if (!machine_type || work.tasks == 0) continue;
-    const double machines =
-        parallel_tasks(work) / fit_count(resources_of(*work.job), resources_of(*machine_type));
+// Number of machines of the type that the job may use.
+double allowed_count(const wire::JobSpec& job, const std::string& type,
+                     const MachineCounts& machines) {
+  double allowed_machines = 0;
+  for (const auto& [kind, count] : machines) {
+    if (kind.type == type && allowed(job, type, kind.zone, kind.spot)) allowed_machines += count;
+  }
+  return allowed_machines;
+}
+
+}  // namespace
+
+// Machines that jobs need, as sums over jobs.
+struct FleetSizer::NeedSums {
+  // Type, whether any zone counts, zone, whether spot machines count. false sorts before true, so
+  // specific needs come before general ones.
+  using Key = std::tuple<std::string, bool, std::string, bool>;
+  struct Sum {
+    double machines = 0;
+    double substitutes = 0;  // for a cheaper type that is used up
+    bool preferred = false;  // the cheapest type of some job
+  };
+
+  std::map<Key, Sum> by_key;
+  std::map<std::string, bool> allows_spot;       // by type
+  std::map<std::string, double> held_uncounted;  // held machines that no job counts for, by type
+
+  void add(const wire::JobSpec& job, const std::string& type, double machines, bool substitutes) {
+    allows_spot[type] |= job.spot;
     std::vector<std::string> zones{""};
-    if (!work.job->zone.empty()) zones.push_back(work.job->zone);
+    if (!job.zone.empty()) zones.push_back(job.zone);
     for (const auto& zone : zones) {
-      sums[{machine_type->name, zone.empty(), zone, true}] += machines;
-      if (!work.job->spot) sums[{machine_type->name, zone.empty(), zone, false}] += machines;
+      for (const bool spot_counts : {false, true}) {
+        if (!spot_counts && job.spot) continue;
+        Sum& sum = by_key[{type, zone.empty(), zone, spot_counts}];
+        (substitutes ? sum.substitutes : sum.machines) += machines;
+        sum.preferred |= !substitutes;
+      }
     }
   }
-  std::vector<Need> out;
-  for (const auto& [key, machines] : sums) {
-    const auto& [type, any_zone, zone, spot_counts] = key;
-    const double spare = any_zone && spot_counts ? kSpareMachines : 0;
-    out.push_back({type, zone, !spot_counts, machines * (1.0 + kHeadroomShare) + spare});
+};
+
+bool FleetSizer::is_used_up(Ms now, const wire::JobSpec& job, const wire::MachineType& type) const {
+  for (const auto& zone : type.zones) {
+    for (const bool spot : {false, true}) {
+      if (allowed(job, type.name, zone, spot) &&
+          !availability_.is_used_up(now, {type.name, zone, spot}))
+        return false;
+    }
   }
-  return out;
+  return true;
 }
 
-bool FleetSizer::is_refused(Ms now, const MachineKind& kind) const {
-  auto it = refused_until_.find(kind);
-  return it != refused_until_.end() && now < it->second;
+void FleetSizer::add_need(Ms now, const Demand& work, const std::vector<wire::MachineType>& catalog,
+                          const MachineCounts& held_machines, NeedSums& sums) const {
+  const wire::JobSpec& job = *work.job;
+  const std::vector<TypeForJob> types = types_by_price(job, catalog);
+  if (types.empty() || work.tasks == 0) return;
+  double tasks = parallel_tasks(work);
+  for (const TypeForJob& choice : types) {
+    const std::string& type = choice.type->name;
+    const bool substitutes = &choice != &types.front();
+    const double machines = tasks / choice.tasks_per_machine;
+    if (!is_used_up(now, job, *choice.type)) {
+      sums.held_uncounted[type] -= machines;
+      return sums.add(job, type, machines, substitutes);
+    }
+    const double held =
+        std::min({machines, sums.held_uncounted[type], allowed_count(job, type, held_machines)});
+    const double usable = std::max(0.0, held);
+    sums.held_uncounted[type] -= usable;
+    sums.add(job, type, usable, substitutes);
+    tasks -= usable * choice.tasks_per_machine;
+    if (tasks <= kAmountSlack) return;
+  }
+  // Every type is used up. The tasks count for the cheapest one, which is requested again from time
+  // to time.
+  sums.add(job, types.front().type->name, tasks / types.front().tasks_per_machine, false);
 }
 
-void FleetSizer::on_refused(Ms now, const MachineKind& kind) {
-  refused_until_[kind] = now + kRefusedKindRetryDelayMs;
+std::vector<FleetSizer::Need> FleetSizer::needs(Ms now, const std::vector<Demand>& demand,
+                                                const std::vector<wire::MachineType>& catalog,
+                                                const MachineCounts& held) const {
+  NeedSums sums;
+  for (const auto& [kind, count] : held) sums.held_uncounted[kind.type] += count;
+  for (const auto& work : demand) add_need(now, work, catalog, held, sums);
+  std::vector<Need> out;
+  for (const auto& [key, sum] : sums.by_key) {
+    const auto& [type, any_zone, zone, spot_counts] = key;
+    const double spare = any_zone && spot_counts && sum.preferred ? kSpareMachines : 0;
+    const double machines = sum.machines * (1.0 + kHeadroomShare) + spare + sum.substitutes;
+    out.push_back({type, zone, !spot_counts, sums.allows_spot[type], machines});
+  }
+  return out;
 }
 
 // Machines to rent in addition to those held, by kind.
 struct FleetSizer::ScaleOutPlan {
   MachineCounts counts;  // held, plus those planned so far
   MachineCounts to_rent;
-  // By type: whether some job for it may use spot machines.
-  std::map<std::string, bool> allows_spot;
 };
 
 double FleetSizer::matching_count(const Need& need, const MachineCounts& counts) {
@@ -127,10 +191,11 @@
   // Prefers machines other than spot, since they are not preempted, and then the zone with the
   // fewest machines of the type.
   for (const bool spot : {false, true}) {
-    if (best || (spot && (need.non_spot_only || !plan.allows_spot[need.type]))) continue;
+    if (best || (spot && (need.non_spot_only || !need.allows_spot))) continue;
     for (const auto& zone : type.zones) {
       const MachineKind kind{need.type, zone, spot};
-      if ((!need.zone.empty() && zone != need.zone) || is_refused(now, kind)) continue;
+      if ((!need.zone.empty() && zone != need.zone) || !availability_.may_request(now, kind))
+        continue;
       if (plan.to_rent[kind] >= kMaxMachinesPerKind) continue;
       if (!best || plan.counts[kind] < plan.counts[*best]) best = kind;
     }
@@ -142,12 +207,17 @@
                                        const std::vector<wire::MachineType>& catalog,
                                        ScaleOutPlan& plan) const {
   const PlacementModel model(catalog);
+  const auto may_request = [&](const MachineKind& kind) {
+    return availability_.may_request(now, kind) && plan.to_rent[kind] < kMaxMachinesPerKind;
+  };
   const auto is_available = [&](const MachineKind& kind) {
-    return !is_refused(now, kind) && plan.to_rent[kind] < kMaxMachinesPerKind;
+    return may_request(kind) && !availability_.is_used_up(now, kind);
   };
   for (const auto& requirement : waiting_requirements(demand)) {
-    for (const auto& [kind, count] :
-         model.machines_to_add(requirement, plan.counts, is_available)) {
+    MachineCounts machines = model.machines_to_add(requirement, plan.counts, is_available);
+    // Kinds that count as used up are requested if there is no other way.
+    if (machines.empty()) machines = model.machines_to_add(requirement, plan.counts, may_request);
+    for (const auto& [kind, count] : machines) {
       const int added = std::min(count, kMaxMachinesPerKind - plan.to_rent[kind]);
       plan.counts[kind] += added;
       plan.to_rent[kind] += added;
@@ -160,12 +230,8 @@
     const MachineCounts& held) const {
   ScaleOutPlan plan;
   plan.counts = held;
-  for (const auto& work : demand) {
-    if (const auto* type = cheapest_type_for(*work.job, catalog))
-      plan.allows_spot[type->name] |= work.job->spot;
-  }
   plan_for_waiting_work(now, demand, catalog, plan);
-  for (const Need& need : needs(demand, catalog)) {
+  for (const Need& need : needs(now, demand, catalog, held)) {
     const auto type = std::find_if(catalog.begin(), catalog.end(), [&need](const auto& candidate) {
       return candidate.name == need.type;
     });
@@ -188,11 +254,11 @@
   return out;
 }
 
-std::map<std::string, int> FleetSizer::surplus(const std::vector<Demand>& demand,
+std::map<std::string, int> FleetSizer::surplus(Ms now, const std::vector<Demand>& demand,
                                                const std::vector<wire::MachineType>& catalog,
                                                const MachineCounts& held) const {
   std::map<std::string, double> wanted;
-  for (const Need& need : needs(demand, catalog))
+  for (const Need& need : needs(now, demand, catalog, held))
     if (need.zone.empty() && !need.non_spot_only) wanted[need.type] = need.machines;
   // Spare machines are held only while there is unfinished work.
   const double min_machines = demand.empty() ? 0.0 : kSpareMachines;
--- a/src/fleet/fleet_sizer.h
+++ b/src/fleet/fleet_sizer.h
@@ -8,15 +8,13 @@
 #include <vector>
 
 #include "base/types.h"
+#include "fleet/kind_availability.h"
 #include "fleet/machine_kind.h"
 #include "fleet/waiting_work.h"
 #include "wire/records.h"
 
 namespace scheduler {
 
-// Milliseconds for which a kind of machine is not requested again after the cloud refused it.
-constexpr std::int64_t kRefusedKindRetryDelayMs = 15'000;
-
 // Name of the duty of managing the fleet. The fleet leader is determined by the hash of this name,
 // so it must be equal in the version in production and in this one.
 constexpr std::string_view kFleetDuty = "cloud";
@@ -27,20 +25,21 @@
 
   // Number of tasks of the job that must run in parallel to meet its objective.
   [[nodiscard]] double parallel_tasks(const Demand& demand) const;
-  // The allowed machine type with the lowest price per task; nullptr if a task fits on none.
-  [[nodiscard]] static const wire::MachineType* cheapest_type_for(
-      const wire::JobSpec& job, const std::vector<wire::MachineType>& catalog);
   // Number of machines of a type that the fleet needs. Only machines in `zone` count ("": any
   // zone), and if `non_spot_only` is set, spot machines don't count.
   struct Need {
     std::string type, zone;
     bool non_spot_only = false;
+    bool allows_spot = false;  // some of the work may use spot machines
     double machines = 0;
   };
   // The most specific needs come first. Every job counts in the general needs; a job that is bound
-  // to a zone or may not use spot machines counts in the matching specific needs as well.
-  [[nodiscard]] std::vector<Need> needs(const std::vector<Demand>& demand,
-                                        const std::vector<wire::MachineType>& catalog) const;
+  // to a zone or may not use spot machines counts in the matching specific needs as well. A job
+  // counts for the type with the lowest price per task; if that is used up, the tasks that the held
+  // machines can't take count for the next type.
+  [[nodiscard]] std::vector<Need> needs(Ms now, const std::vector<Demand>& demand,
+                                        const std::vector<wire::MachineType>& catalog,
+                                        const MachineCounts& held) const;
   // The requests to send now, limited to a few per kind: machines without which waiting jobs can't
   // run (fleet/waiting_work.h), and then those that the needs lack in number. `held` counts the
   // machines that are ready or requested already. Kinds that the cloud refused recently are left
@@ -49,7 +48,7 @@
       Ms now, const std::vector<Demand>& demand, const std::vector<wire::MachineType>& catalog,
       const MachineCounts& held) const;
   // Machines held beyond the need, by type and summed over zones; negative if machines are missing.
-  [[nodiscard]] std::map<std::string, int> surplus(const std::vector<Demand>& demand,
+  [[nodiscard]] std::map<std::string, int> surplus(Ms now, const std::vector<Demand>& demand,
                                                    const std::vector<wire::MachineType>& catalog,
                                                    const MachineCounts& held) const;
   // Whether waiting jobs would lack machines if one machine of this kind were returned.
@@ -57,12 +56,21 @@
                                                    const std::vector<Demand>& demand,
                                                    const std::vector<wire::MachineType>& catalog,
                                                    MachineCounts held);
-  void on_refused(Ms now, const MachineKind& kind);
+  // The cloud had no machines of this kind, or fewer than requested.
+  void on_refused(Ms now, const MachineKind& kind) { availability_.on_refused(now, kind); }
+  // The cloud had all machines that were requested.
+  void on_filled(const MachineKind& kind) { availability_.on_filled(kind); }
 
  private:
+  struct NeedSums;
   struct ScaleOutPlan;
 
-  [[nodiscard]] bool is_refused(Ms now, const MachineKind& kind) const;
+  // Whether every kind of this type that the job may use is used up.
+  [[nodiscard]] bool is_used_up(Ms now, const wire::JobSpec& job,
+                                const wire::MachineType& type) const;
+  // Adds the machines that the job needs, by type.
+  void add_need(Ms now, const Demand& work, const std::vector<wire::MachineType>& catalog,
+                const MachineCounts& held_machines, NeedSums& sums) const;
   // Adds the machines without which waiting jobs can't run.
   void plan_for_waiting_work(Ms now, const std::vector<Demand>& demand,
                              const std::vector<wire::MachineType>& catalog,
@@ -74,7 +82,7 @@
                                        ScaleOutPlan& plan) const;
 
   const Settings& settings_;
-  std::map<MachineKind, Ms> refused_until_;  // time until which the kind is not requested
+  KindAvailability availability_;
 };
 
 }  // namespace scheduler
--- a/src/fleet/scale_out_requests.cpp
+++ b/src/fleet/scale_out_requests.cpp
@@ -75,8 +75,12 @@
   const auto machines = std::move(reply).value_or(std::vector<std::string>{});
   const bool no_capacity =
       http_result.status == 503 && http_result.body.find("capacity") != std::string::npos;
-  if (no_capacity || (rented && machines.size() < request.count))
-    sizer_.on_refused(now, {request.type, request.zone, request.spot});
+  const MachineKind kind{request.type, request.zone, request.spot};
+  if (no_capacity || (rented && machines.size() < request.count)) {
+    sizer_.on_refused(now, kind);
+  } else if (rented) {
+    sizer_.on_filled(kind);
+  }
   if (!rented && !no_capacity && http_result.status != 400) {
     // No answer, or a temporary refusal. The request is repeated with the same name, for which the
     // cloud rents machines only once.
--- a/src/fleet/waiting_work.cpp
+++ b/src/fleet/waiting_work.cpp
@@ -29,7 +29,6 @@
 std::optional<PlacementRequirement> requirement_of(const Demand& demand) {
   const wire::JobSpec& job = *demand.job;
   if (demand.placed >= demand.tasks || demand.waits_for_quota) return std::nullopt;
-  if (!job.one_zone && !job.spread) return std::nullopt;
   const std::string& zone = demand.zone_in_use.empty() ? job.zone : demand.zone_in_use;
   if (job.is_gang() || job.is_service()) return PlacementRequirement{&job, zone, job.tasks};
   // The tasks of an array may run one after another.
--- a/tests/waiting_work_test.cpp
+++ b/tests/waiting_work_test.cpp
@@ -66,6 +66,19 @@
     return rented;
   }
 
+  // Marks every kind of the type in these zones as refused.
+  void refuse(Ms now, const std::string& type, const std::vector<std::string>& zones) {
+    for (const auto& zone : zones) {
+      for (const bool spot : {false, true}) sizer_.on_refused(now, {type, zone, spot});
+    }
+  }
+
+  [[nodiscard]] int held_of(const std::string& type) const {
+    int count = 0;
+    for (const auto& [kind, machines] : held_) count += kind.type == type ? machines : 0;
+    return count;
+  }
+
   [[nodiscard]] int held_in(const std::string& zone) const {
     int count = 0;
     for (const auto& [kind, machines] : held_) count += kind.zone == zone ? machines : 0;
@@ -202,6 +215,100 @@
   EXPECT_EQ(rent_until_satisfied({{&service, 4}}), 8);
 }
 
+// Guards against work that is never started because only the cheapest type is requested while the
+// cloud has none left of it (review/7).
+TEST_F(WaitingWorkTest, AnotherTypeIsRentedWhileTheCheapestIsUsedUp) {
+  catalog_.push_back(machine_type("large-box", 4.7));
+  wire::JobSpec array = job(wire::JobShape::array, 2);
+  array.estimate_s = kDefaultHorizonS;  // so that both tasks must run at the same time
+  const std::vector<Demand> demand{{&array, 2}};
+  EXPECT_EQ(requested(demand).begin()->first.type, "box");
+  refuse(0, "box", {"a", "b", "c", "d"});
+  const MachineCounts machines = requested(demand, 1);
+  ASSERT_FALSE(machines.empty());
+  int count = 0;
+  for (const auto& [kind, number] : machines) {
+    EXPECT_EQ(kind.type, "large-box");
+    count += number;
+  }
+  EXPECT_EQ(count, 2);  // one for each task, without headroom
+}
+
+// Only the tasks that the held machines can't take count for the more expensive type.
+TEST_F(WaitingWorkTest, HeldMachinesOfAUsedUpTypeAreUsedFirst) {
+  catalog_.push_back(machine_type("large-box", 4.7));
+  held_ = {{{"box", "a", false}, 6}};
+  const wire::JobSpec gang = job(wire::JobShape::gang, 10);
+  refuse(0, "box", {"a", "b", "c", "d"});
+  EXPECT_EQ(rent_until_satisfied({{&gang, 10}}), 4);
+  EXPECT_EQ(held_of("large-box"), 4);
+}
+
+TEST_F(WaitingWorkTest, NothingIsReturnedThatReplacesAUsedUpType) {
+  catalog_.push_back(machine_type("large-box", 4.7));
+  held_ = {{{"box", "a", false}, 6}, {{"large-box", "a", false}, 5}};
+  const wire::JobSpec gang = job(wire::JobShape::gang, 10);
+  refuse(0, "box", {"a", "b", "c", "d"});
+  const std::vector<Demand> demand{{&gang, 10}};
+  EXPECT_EQ(sizer_.surplus(1, demand, catalog_, held_).at("large-box"), 1);
+  // Once the cheaper type can be rented again, it is.
+  for (const auto* zone : {"a", "b", "c", "d"}) sizer_.on_filled({"box", zone, false});
+  EXPECT_EQ(sizer_.surplus(1, demand, catalog_, held_).at("large-box"), 3);  // two are spare
+}
+
+// Work bound to a zone in which the cheapest type is used up.
+TEST_F(WaitingWorkTest, AnotherTypeIsRentedInTheZoneOfTheWork) {
+  catalog_.push_back(machine_type("large-box", 4.7));
+  held_ = {{{"box", "b", false}, 30}};
+  wire::JobSpec array = job(wire::JobShape::array, 2);
+  array.zone = "a";
+  array.estimate_s = kDefaultHorizonS;  // so that both tasks must run at the same time
+  refuse(0, "box", {"a"});
+  EXPECT_EQ(requested({{&array, 2}}, 1), (MachineCounts{{{"large-box", "a", false}, 2}}));
+}
+
+// A gang in one zone prefers a zone in which the cheap type is left.
+TEST_F(WaitingWorkTest, CheaperZoneIsPreferredToAnExpensiveType) {
+  catalog_.push_back(machine_type("large-box", 4.7));
+  held_ = {{{"box", "a", false}, 5}, {{"box", "b", false}, 4}, {{"box", "c", false}, 4}};
+  const wire::JobSpec gang = one_zone_gang(6);
+  refuse(0, "box", {"a"});
+  EXPECT_EQ(requested({{&gang, 6}}, 1), (MachineCounts{{{"box", "b", false}, 2}}));
+}
+
+TEST_F(WaitingWorkTest, ASingleTypeIsRequestedAgainAfterARefusal) {
+  held_ = {{{"box", "b", false}, 30}};
+  wire::JobSpec array = job(wire::JobShape::array, 2);
+  array.zone = "a";
+  refuse(0, "box", {"a"});
+  EXPECT_TRUE(requested({{&array, 2}}, 1).empty());
+  refuse(kRefusedKindRetryDelayMs, "box", {"a"});
+  EXPECT_TRUE(requested({{&array, 2}}, kRefusedKindRetryDelayMs + 1).empty());
+  EXPECT_FALSE(requested({{&array, 2}}, 2 * kRefusedKindRetryDelayMs).empty());
+}
+
+TEST(KindAvailability, RefusedKindCountsAsUsedUpForAGrowingTime) {
+  const MachineKind kind{"box", "a", false};
+  KindAvailability availability;
+  EXPECT_TRUE(availability.may_request(0, kind));
+  EXPECT_FALSE(availability.is_used_up(0, kind));
+  Ms now = 0;
+  for (const Ms used_up_ms : {15'000, 30'000, 60'000, 120'000, 240'000, 240'000}) {
+    availability.on_refused(now, kind);
+    availability.on_refused(now + 1, kind);  // of another request under way
+    EXPECT_FALSE(availability.may_request(now + kRefusedKindRetryDelayMs, kind));
+    EXPECT_TRUE(availability.may_request(now + kRefusedKindRetryDelayMs + 1, kind));
+    EXPECT_TRUE(availability.is_used_up(now + used_up_ms - 1, kind));
+    EXPECT_FALSE(availability.is_used_up(now + used_up_ms, kind));
+    now += used_up_ms;
+    if (used_up_ms == kRefusedKindRetryDelayMs) ++now;  // the refusals before count as one
+  }
+  availability.on_filled(kind);
+  EXPECT_FALSE(availability.is_used_up(now, kind));
+  availability.on_refused(now, kind);
+  EXPECT_FALSE(availability.is_used_up(now + kRefusedKindRetryDelayMs, kind));
+}
+
 // A machine that is returned although waiting work needs it would be rented again at once.
 TEST_F(WaitingWorkTest, MachinesThatAWaitingGangNeedsAreKept) {
   held_ = {{{"box", "a", false}, 6}, {{"box", "b", false}, 5}};
