Machines are rented for jobs that have waited for long beside full ones

What callers would see: a job waits for good if all machines that it may use are full of work that doesn't end, such as replicas that it can't preempt, although more machines could be rented.

Cause: waiting jobs are tried on empty machines, since most work ends soon, and in the sums machines that are full count like others.

Change: after 60 s a job is tried on what is free on each machine, every 5 s, at most 16 kinds of jobs; a machine that boots counts as free. Scale-in keeps free machines that such a job needs. What the size of the fleet depends on is collected by a class of its own (FleetDemand).

Tests: CrowdedFleetTest and AMachineIsRequestedForAJobThatWaitsBesideFullMachines; without this no machine is requested in any of them that expects one.

--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -4,9 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "base/resources.h"
 #include "fleet/cloud_inventory.h"
-#include "quota/quota_leases.h"
 #include "wire/messages.h"
 
 namespace scheduler {
@@ -17,6 +15,9 @@
 constexpr std::int64_t kCatalogIntervalMs = 60'000;
 // Milliseconds between decisions about the size of the fleet.
 constexpr std::int64_t kResizeIntervalMs = 1000;
+// Milliseconds between checks of what is free on each machine, which cost more than other
+// decisions.
+constexpr std::int64_t kRoomCheckIntervalMs = 5000;
 // The surplus divided by this is the number of machines drained per second, but at least one
 // machine. Most of a surplus of any size is thus returned within ten minutes.
 constexpr int kSurplusDivisor = 300;
@@ -52,10 +53,17 @@
   }
 }
 
+// Whether some job has waited for machines so long that only what is free on them counts.
+bool any_crowded(const std::vector<Demand>& demand) {
+  return std::any_of(demand.begin(), demand.end(),
+                     [](const Demand& work) { return work.waited_ms >= kCrowdedWaitMs; });
+}
+
 }  // namespace
 
 FleetCoordinator::FleetCoordinator(const Context& context)
     : context_(context),
+      demand_(context),
       sizer_(context.settings),
       record_writer_(
           context,
@@ -75,6 +83,7 @@
     record_writer_.clear();
     scale_out_requests_.clear();
     unlisted_since_.clear();
+    demand_.clear();
     surplus_since_ = idle_since_ = 0;
     return;
   }
@@ -95,59 +104,11 @@
   inventory_.on_pause(now);
   for (auto& [id, since] : unlisted_since_) since += gap;
   for (auto& [id, since] : terminated_since_) since += gap;
+  demand_.clear();
   surplus_since_ = 0;
   idle_since_ = 0;
 }
 
-std::vector<Demand> FleetCoordinator::job_demand() const {
-  std::vector<Demand> out;
-  for (const auto& [id, job] : context_.replica.jobs()) {
-    if (!job.known || job.record.cancelled) continue;
-    const wire::JobSpec& spec = job.record.spec;
-    const std::uint64_t done = job.done_tasks();
-    if (done >= spec.tasks) continue;
-    Demand work(&spec, spec.tasks - done);
-    work.placed = job.placed_tasks();
-    work.zone_in_use = zone_in_use(job);
-    work.waits_for_quota = work.placed < work.tasks && waits_for_quota(spec);
-    out.push_back(std::move(work));
-  }
-  return out;
-}
-
-std::string FleetCoordinator::zone_in_use(const Job& job) const {
-  const wire::JobSpec& spec = job.record.spec;
-  if (!spec.is_service() || !spec.one_zone) return {};
-  for (const auto& [number, range] : job.ranges) {
-    for (const auto& [task, placement] : range.placed)
-      if (const auto* machine = context_.replica.machine(placement.machine)) return machine->zone;
-  }
-  return {};
-}
-
-bool FleetCoordinator::waits_for_quota(const wire::JobSpec& spec) const {
-  const Team* team = context_.team(spec.team);
-  if (!team || !has_quota_limit(*team)) return false;
-  const double tasks = spec.is_gang() ? spec.tasks : 1.0;
-  const Usage usage = context_.replica.usage(spec.team);
-  const auto exceeds = [tasks](double used, double per_task, double limit) {
-    return limit > 0 && per_task > 0 && used + tasks * per_task > limit + kAmountSlack;
-  };
-  return exceeds(usage.cpus, spec.cpus, team->cpus_max) ||
-         exceeds(usage.gpus, spec.gpus, team->gpus_max);
-}
-
-// Machines that are ready or requested from the cloud, by kind.
-MachineCounts FleetCoordinator::held_machines() const {
-  MachineCounts held;
-  for (const auto& [id, record] : context_.replica.machines()) {
-    if (record.state == MachineState::ready) ++held[{record.type, record.zone, record.spot}];
-  }
-  for (const auto& [name, scale_out] : context_.replica.scale_out_requests())
-    held[{scale_out.type, scale_out.zone, scale_out.spot}] += static_cast<int>(scale_out.count);
-  return held;
-}
-
 // ---- the catalog ----
 
 void FleetCoordinator::read_catalog(Ms now) {
@@ -265,15 +226,20 @@
 void FleetCoordinator::resize(Ms now) {
   next_resize_ = now + kResizeIntervalMs;
   if (!context_.replica.has_catalog() || !inventory_.has_list()) return;
-  const auto machines = held_machines();
-  const auto demand = job_demand();
+  const auto machines = demand_.machines();
+  const auto demand = demand_.jobs(now);
   if (scale_out_requests_.idle()) scale_out(now, demand, machines);
   scale_in(now, demand, machines);
 }
 
 void FleetCoordinator::scale_out(Ms now, const std::vector<Demand>& demand,
                                  const MachineCounts& held) {
-  for (auto& request : sizer_.next_scale_out(now, demand, context_.replica.catalog(), held))
+  std::vector<MachineRoom> rooms;
+  if (now >= next_room_check_) {
+    next_room_check_ = now + kRoomCheckIntervalMs;
+    if (any_crowded(demand)) rooms = demand_.rooms();
+  }
+  for (auto& request : sizer_.next_scale_out(now, demand, context_.replica.catalog(), held, rooms))
     scale_out_requests_.request(std::move(request));
 }
 
@@ -297,6 +263,11 @@
 void FleetCoordinator::drain_empty(std::map<std::string, int> surplus, int count,
                                    const std::vector<Demand>& demand, MachineCounts held) {
   std::set<MachineKind> kept;
+  std::vector<MachineRoom> rooms;
+  if (any_crowded(demand)) {
+    rooms = demand_.rooms();
+    count = std::min(count, 1);  // `rooms` doesn't show what this call drains
+  }
   for (const auto& [id, record] : context_.replica.machines()) {
     if (count == 0) return;
     const auto of_type = surplus.find(record.type);
@@ -305,7 +276,7 @@
     if (!usable || !context_.replica.placed_on(id).empty()) continue;
     const MachineKind kind{record.type, record.zone, record.spot};
     if (kept.contains(kind)) continue;
-    if (FleetSizer::needed_by_waiting_work(kind, demand, context_.replica.catalog(), held)) {
+    if (FleetSizer::needed_by_waiting_work(kind, demand, context_.replica.catalog(), held, rooms)) {
       kept.insert(kind);
       continue;
     }
--- a/src/fleet/fleet_coordinator.h
+++ b/src/fleet/fleet_coordinator.h
@@ -8,6 +8,7 @@
 
 #include "base/types.h"
 #include "fleet/cloud_inventory.h"
+#include "fleet/fleet_demand.h"
 #include "fleet/fleet_record_writer.h"
 #include "fleet/fleet_sizer.h"
 #include "fleet/scale_out_requests.h"
@@ -37,13 +38,6 @@
 
  private:
   [[nodiscard]] bool is_leader() const { return context_.is_leader_of(kFleetDuty); }
-  [[nodiscard]] std::vector<Demand> job_demand() const;
-  // The zone of the placed replicas of a service that must be in one zone; empty if there is none.
-  [[nodiscard]] std::string zone_in_use(const Job& job) const;
-  // Whether the team's limit is too far used for a task of the job, or for the whole gang.
-  [[nodiscard]] bool waits_for_quota(const wire::JobSpec& spec) const;
-  [[nodiscard]] MachineCounts held_machines() const;
-
   void read_catalog(Ms now);
   void on_catalog(Ms now, const HttpResult& http_result);
 
@@ -68,6 +62,7 @@
   void on_returned(Ms now, const std::vector<std::string>& ids, const HttpResult& http_result);
 
   const Context& context_;
+  FleetDemand demand_;
   FleetSizer sizer_;
   FleetRecordWriter record_writer_;
   CloudInventory inventory_;
@@ -77,6 +72,7 @@
   bool reading_catalog_ = false;
   Ms next_catalog_read_ = 0;
   Ms next_resize_ = 0;
+  Ms next_room_check_ = 0;
   Ms surplus_since_ = 0;  // 0: no more machines than needed
   Ms idle_since_ = 0;     // 0: some job is unfinished
   bool return_in_flight_ = false;
--- a/src/fleet/fleet_sizer.cpp
+++ b/src/fleet/fleet_sizer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 #include "allocation/placement.h"
 #include "base/resources.h"
@@ -205,6 +206,7 @@
 
 void FleetSizer::plan_for_waiting_work(Ms now, const std::vector<Demand>& demand,
                                        const std::vector<wire::MachineType>& catalog,
+                                       const std::vector<MachineRoom>& rooms,
                                        ScaleOutPlan& plan) const {
   const PlacementModel model(catalog);
   const auto may_request = [&](const MachineKind& kind) {
@@ -214,9 +216,13 @@
     return may_request(kind) && !availability_.is_used_up(now, kind);
   };
   for (const auto& requirement : waiting_requirements(demand)) {
-    MachineCounts machines = model.machines_to_add(requirement, plan.counts, is_available);
+    const bool on_free_room = requirement.crowded && !rooms.empty();
+    std::vector<MachineRoom> tried =
+        model.empty_machines(on_free_room ? plan.to_rent : plan.counts);
+    if (on_free_room) tried.insert(tried.end(), rooms.begin(), rooms.end());
+    MachineCounts machines = model.machines_to_add(requirement, tried, is_available);
     // Kinds that count as used up are requested if there is no other way.
-    if (machines.empty()) machines = model.machines_to_add(requirement, plan.counts, may_request);
+    if (machines.empty()) machines = model.machines_to_add(requirement, tried, may_request);
     for (const auto& [kind, count] : machines) {
       const int added = std::min(count, kMaxMachinesPerKind - plan.to_rent[kind]);
       plan.counts[kind] += added;
@@ -227,10 +233,10 @@
 
 std::vector<wire::ScaleOutRequest> FleetSizer::next_scale_out(
     Ms now, const std::vector<Demand>& demand, const std::vector<wire::MachineType>& catalog,
-    const MachineCounts& held) const {
+    const MachineCounts& held, const std::vector<MachineRoom>& rooms) const {
   ScaleOutPlan plan;
   plan.counts = held;
-  plan_for_waiting_work(now, demand, catalog, plan);
+  plan_for_waiting_work(now, demand, catalog, rooms, plan);
   for (const Need& need : needs(now, demand, catalog, held)) {
     const auto type = std::find_if(catalog.begin(), catalog.end(), [&need](const auto& candidate) {
       return candidate.name == need.type;
@@ -271,18 +277,29 @@
 
 bool FleetSizer::needed_by_waiting_work(const MachineKind& kind, const std::vector<Demand>& demand,
                                         const std::vector<wire::MachineType>& catalog,
-                                        MachineCounts held) {
+                                        MachineCounts held, std::vector<MachineRoom> rooms) {
   const PlacementModel model(catalog);
   const auto requirements = waiting_requirements(demand);
-  std::vector<double> missing;
-  missing.reserve(requirements.size());
-  for (const auto& requirement : requirements)
-    missing.push_back(model.missing_tasks(requirement, held));
+  const auto missing_tasks = [&] {
+    std::vector<double> missing;
+    missing.reserve(requirements.size());
+    for (const auto& requirement : requirements) {
+      const bool on_free_room = requirement.crowded && !rooms.empty();
+      missing.push_back(
+          model.missing_tasks(requirement, on_free_room ? rooms : model.empty_machines(held)));
+    }
+    return missing;
+  };
+  const std::vector<double> before = missing_tasks();
   --held[kind];
-  for (std::size_t i = 0; i < requirements.size(); ++i) {
-    if (model.missing_tasks(requirements[i], held) > missing[i]) return true;
+  for (const MachineRoom& empty : model.empty_machines({{kind, 1}})) {
+    const auto room = std::find_if(rooms.begin(), rooms.end(), [&](const MachineRoom& machine) {
+      return machine.kind == kind && machine.machines > 0 && machine.free.covers(empty.free);
+    });
+    if (room != rooms.end()) --room->machines;
   }
-  return false;
+  const std::vector<double> after = missing_tasks();
+  return !std::equal(before.begin(), before.end(), after.begin(), std::greater_equal<>());
 }
 
 }  // namespace scheduler
--- a/src/fleet/fleet_sizer.h
+++ b/src/fleet/fleet_sizer.h
@@ -42,20 +42,22 @@
                                         const MachineCounts& held) const;
   // The requests to send now, limited to a few per kind: machines without which waiting jobs can't
   // run (fleet/waiting_work.h), and then those that the needs lack in number. `held` counts the
-  // machines that are ready or requested already. Kinds that the cloud refused recently are left
-  // out.
+  // machines that are ready or requested already. `rooms`: the same machines with what is free on
+  // each, for jobs that have waited for long; if it is empty, these are tried on empty machines as
+  // well. Kinds that the cloud refused recently are left out.
   [[nodiscard]] std::vector<wire::ScaleOutRequest> next_scale_out(
       Ms now, const std::vector<Demand>& demand, const std::vector<wire::MachineType>& catalog,
-      const MachineCounts& held) const;
+      const MachineCounts& held, const std::vector<MachineRoom>& rooms = {}) const;
   // Machines held beyond the need, by type and summed over zones; negative if machines are missing.
   [[nodiscard]] std::map<std::string, int> surplus(Ms now, const std::vector<Demand>& demand,
                                                    const std::vector<wire::MachineType>& catalog,
                                                    const MachineCounts& held) const;
-  // Whether waiting jobs would lack machines if one machine of this kind were returned.
+  // Whether waiting jobs would lack machines if one empty machine of this kind were returned.
   [[nodiscard]] static bool needed_by_waiting_work(const MachineKind& kind,
                                                    const std::vector<Demand>& demand,
                                                    const std::vector<wire::MachineType>& catalog,
-                                                   MachineCounts held);
+                                                   MachineCounts held,
+                                                   std::vector<MachineRoom> rooms = {});
   // The cloud had no machines of this kind, or fewer than requested.
   void on_refused(Ms now, const MachineKind& kind) { availability_.on_refused(now, kind); }
   // The cloud had all machines that were requested.
@@ -74,7 +76,7 @@
   // Adds the machines without which waiting jobs can't run.
   void plan_for_waiting_work(Ms now, const std::vector<Demand>& demand,
                              const std::vector<wire::MachineType>& catalog,
-                             ScaleOutPlan& plan) const;
+                             const std::vector<MachineRoom>& rooms, ScaleOutPlan& plan) const;
   // Number of machines among `counts` that count for the need.
   static double matching_count(const Need& need, const MachineCounts& counts);
   // The kind of the next machine to rent for the need; std::nullopt if no more may be requested.
--- a/src/fleet/waiting_work.cpp
+++ b/src/fleet/waiting_work.cpp
@@ -4,12 +4,10 @@
 #include <cmath>
 #include <limits>
 #include <map>
-#include <optional>
 #include <tuple>
 #include <utility>
 
 #include "allocation/placement.h"
-#include "base/resources.h"
 
 namespace scheduler {
 
@@ -18,41 +16,65 @@
 // The conditions of a requirement; requirements that differ only in the number of tasks have equal
 // ones.
 using Conditions = std::tuple<double, double, double, std::vector<std::string>, std::string, bool,
-                              bool, bool, bool, bool>;
+                              bool, bool, bool, bool, bool, std::map<std::string, std::uint64_t>>;
 
 Conditions conditions_of(const PlacementRequirement& requirement) {
   const wire::JobSpec& job = *requirement.job;
-  return {job.cpus,     job.gpus,   job.memory_gb, job.types,     requirement.zone,
-          job.one_zone, job.spread, job.spot,      job.is_gang(), job.is_service()};
+  return {job.cpus,         job.gpus,         job.memory_gb,       job.types,
+          requirement.zone, job.one_zone,     job.spread,          job.spot,
+          job.is_gang(),    job.is_service(), requirement.crowded, requirement.replicas_by_zone};
 }
 
-std::optional<PlacementRequirement> requirement_of(const Demand& demand) {
+PlacementRequirement requirement_of(const Demand& demand) {
   const wire::JobSpec& job = *demand.job;
-  if (demand.placed >= demand.tasks || demand.waits_for_quota) return std::nullopt;
-  const std::string& zone = demand.zone_in_use.empty() ? job.zone : demand.zone_in_use;
-  if (job.is_gang() || job.is_service()) return PlacementRequirement{&job, zone, job.tasks};
+  PlacementRequirement requirement;
+  requirement.job = &job;
   // The tasks of an array may run one after another.
-  if (demand.placed > 0) return std::nullopt;
-  return PlacementRequirement{&job, zone, 1};
+  requirement.tasks = job.is_gang() || job.is_service() ? job.tasks : 1;
+  // Replicas stay where they are, so that no other zone can be used.
+  const bool zone_is_fixed = job.one_zone && !demand.replicas_by_zone.empty();
+  requirement.zone = zone_is_fixed ? demand.replicas_by_zone.begin()->first : job.zone;
+  requirement.waited_ms = demand.waited_ms;
+  requirement.crowded = demand.waited_ms >= kCrowdedWaitMs;
+  if (requirement.crowded) requirement.replicas_by_zone = demand.replicas_by_zone;
+  return requirement;
+}
+
+// Keeps the crowded requirements of the jobs that have waited longest; the others are tried on
+// empty machines.
+void limit_crowded(std::vector<PlacementRequirement>& requirements) {
+  std::stable_sort(requirements.begin(), requirements.end(), [](const auto& a, const auto& b) {
+    return a.crowded != b.crowded ? a.crowded : a.crowded && a.waited_ms > b.waited_ms;
+  });
+  for (std::size_t i = kMaxCrowdedRequirements; i < requirements.size(); ++i)
+    requirements[i].crowded = false;
 }
 
 }  // namespace
 
+bool Demand::needs_machines() const {
+  if (placed >= tasks || waits_for_quota) return false;
+  return placed == 0 || job->is_gang() || job->is_service();
+}
+
 std::vector<PlacementRequirement> waiting_requirements(const std::vector<Demand>& demand) {
   std::map<Conditions, PlacementRequirement> largest;
   for (const Demand& work : demand) {
-    const auto requirement = requirement_of(work);
-    if (!requirement) continue;
-    auto [entry, inserted] = largest.try_emplace(conditions_of(*requirement), *requirement);
-    if (!inserted && entry->second.tasks < requirement->tasks) entry->second = *requirement;
+    if (!work.needs_machines()) continue;
+    const PlacementRequirement requirement = requirement_of(work);
+    auto [entry, inserted] = largest.try_emplace(conditions_of(requirement), requirement);
+    const Ms longest_wait = std::max(entry->second.waited_ms, requirement.waited_ms);
+    if (!inserted && entry->second.tasks < requirement.tasks) entry->second = requirement;
+    entry->second.waited_ms = longest_wait;
   }
   std::vector<PlacementRequirement> out;
   out.reserve(largest.size());
   for (const auto& [conditions, requirement] : largest) out.push_back(requirement);
+  limit_crowded(out);
   return out;
 }
 
-// Number of tasks that empty machines can take, by zone.
+// Number of tasks that find room, by zone.
 struct PlacementModel::TaskRoom {
   double tasks = 0;         // that must have a machine
   double max_per_zone = 0;  // that may be in one zone
@@ -104,42 +126,54 @@
   return fit_count(resources_of(job), resources_of(*type));
 }
 
+std::vector<MachineRoom> PlacementModel::empty_machines(const MachineCounts& machines) const {
+  std::vector<MachineRoom> rooms;
+  for (const auto& [kind, count] : machines) {
+    if (const wire::MachineType* type = find_type(kind.type))
+      rooms.push_back({kind, resources_of(*type), count});
+  }
+  return rooms;
+}
+
 PlacementModel::TaskRoom PlacementModel::room_in(const PlacementRequirement& requirement,
                                                  const Zones& zones,
-                                                 const MachineCounts& machines) const {
+                                                 const std::vector<MachineRoom>& rooms) {
   const wire::JobSpec& job = *requirement.job;
   TaskRoom room;
   room.tasks = static_cast<double>(requirement.tasks);
   room.max_per_zone = job.spread ? std::ceil(job.tasks / 2.0) : room.tasks;
-  for (const auto& [kind, count] : machines) {
-    if (zones.contains(kind.zone)) room.by_zone[kind.zone] += count * tasks_per_machine(job, kind);
+  for (const MachineRoom& machine : rooms) {
+    const MachineKind& kind = machine.kind;
+    if (!zones.contains(kind.zone) || !allowed(job, kind.type, kind.zone, kind.spot)) continue;
+    room.by_zone[kind.zone] += machine.machines * fit_count(resources_of(job), machine.free);
   }
+  if (!requirement.crowded) return room;
+  for (const auto& [zone, replicas] : requirement.replicas_by_zone)
+    if (zones.contains(zone)) room.by_zone[zone] += static_cast<double>(replicas);
   return room;
 }
 
 double PlacementModel::missing_tasks(const PlacementRequirement& requirement,
-                                     const MachineCounts& machines) const {
+                                     const std::vector<MachineRoom>& rooms) const {
   auto fewest = static_cast<double>(requirement.tasks);
   for (const Zones& zones : zone_choices(requirement))
-    fewest = std::min(fewest, room_in(requirement, zones, machines).missing());
+    fewest = std::min(fewest, room_in(requirement, zones, rooms).missing());
   return fewest;
 }
 
 // The kinds that can take a task of the job: the lowest price per task first, then ordinary
 // machines before spot machines, since they are not preempted, then the fewest machines.
-std::vector<MachineKind> PlacementModel::kinds_by_price(const wire::JobSpec& job,
-                                                        const Zones& zones,
-                                                        const MachineCounts& machines) const {
+std::vector<MachineKind> PlacementModel::kinds_by_price(
+    const wire::JobSpec& job, const Zones& zones, const std::vector<MachineRoom>& rooms) const {
+  MachineCounts held;
+  for (const MachineRoom& machine : rooms) held[machine.kind] += machine.machines;
   std::vector<std::tuple<double, bool, int, MachineKind>> ranked;
   for (const auto& type : catalog_) {
     for (const auto& zone : type.zones) {
       for (const bool spot : {false, true}) {
         const MachineKind kind{type.name, zone, spot};
         const double tasks = zones.contains(zone) ? tasks_per_machine(job, kind) : 0;
-        const auto held = machines.find(kind);
-        if (tasks >= 1)
-          ranked.emplace_back(type.price / tasks, spot, held == machines.end() ? 0 : held->second,
-                              kind);
+        if (tasks >= 1) ranked.emplace_back(type.price / tasks, spot, held[kind], kind);
       }
     }
   }
@@ -152,12 +186,12 @@
 
 PlacementModel::Addition PlacementModel::addition_in(const PlacementRequirement& requirement,
                                                      const Zones& zones,
-                                                     const MachineCounts& machines,
+                                                     const std::vector<MachineRoom>& rooms,
                                                      const IsAvailable& is_available) const {
   const wire::JobSpec& job = *requirement.job;
-  TaskRoom room = room_in(requirement, zones, machines);
+  TaskRoom room = room_in(requirement, zones, rooms);
   Addition addition;
-  for (const MachineKind& kind : kinds_by_price(job, zones, machines)) {
+  for (const MachineKind& kind : kinds_by_price(job, zones, rooms)) {
     const double tasks = room.addable(kind.zone);
     if (tasks <= 0 || !is_available(kind)) continue;
     const double per_machine = tasks_per_machine(job, kind);
@@ -171,13 +205,13 @@
 }
 
 MachineCounts PlacementModel::machines_to_add(const PlacementRequirement& requirement,
-                                              const MachineCounts& machines,
+                                              const std::vector<MachineRoom>& rooms,
                                               const IsAvailable& is_available) const {
-  if (missing_tasks(requirement, machines) <= 0) return {};
+  if (missing_tasks(requirement, rooms) <= 0) return {};
   Addition best;
   best.price = std::numeric_limits<double>::infinity();
   for (const Zones& zones : zone_choices(requirement)) {
-    Addition addition = addition_in(requirement, zones, machines, is_available);
+    Addition addition = addition_in(requirement, zones, rooms, is_available);
     // A part of its tasks is of no use to a gang.
     if (!addition.complete && !requirement.job->is_service()) continue;
     const bool better =
--- a/src/fleet/waiting_work.h
+++ b/src/fleet/waiting_work.h
@@ -1,24 +1,40 @@
-// Finds waiting jobs that the fleet could not run even if all its machines were empty, and the
-// machines to rent for them.
+// Finds waiting jobs that the fleet can't run, and the machines to rent for them.
 //
 // The total demand (fleet_sizer.h) doesn't show such jobs: a gang whose tasks must be in one zone
 // needs enough machines in that zone, and a service that is spread over zones needs machines in
-// several, however many the fleet has in all. A job is therefore tried
-// on empty machines of each kind, by the conditions that placement itself applies. The cost depends
-// on the numbers of distinct requirements and of machine kinds, not on those of tasks and machines.
+// several, however many the fleet has in all. A job is therefore tried on the machines, by the
+// conditions that placement itself applies: on empty ones at first, since most work ends soon, and
+// on what is free on each once it has waited for kCrowdedWaitMs. The first costs a step for each
+// distinct requirement and kind of machine, the second one for each machine and each of at most
+// kMaxCrowdedRequirements requirements.
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "base/resources.h"
+#include "base/types.h"
 #include "fleet/machine_kind.h"
 #include "wire/messages.h"
 
 namespace scheduler {
 
+// Milliseconds after which a waiting job no longer counts on other work to end.
+constexpr std::int64_t kCrowdedWaitMs = 60'000;
+// Most requirements at a time that are tried on what is free on each machine.
+constexpr std::size_t kMaxCrowdedRequirements = 16;
+
+// Machines of one kind with the same free resources.
+struct MachineRoom {
+  MachineKind kind;
+  Resources free;
+  int machines = 1;
+};
+
 // An unfinished job for which machines are needed.
 struct Demand {
   Demand(const wire::JobSpec* spec, std::uint64_t unfinished_tasks)
@@ -27,10 +43,13 @@
   const wire::JobSpec* job;
   std::uint64_t tasks;       // unfinished
   std::uint64_t placed = 0;  // of the unfinished tasks, those that are placed on a machine
-  // The zone of the placed replicas, if the job is a service that must be in one zone.
-  std::string zone_in_use;
+  std::map<std::string, std::uint64_t> replicas_by_zone;  // the placed ones of a service
   // The team's limit allows no further task, or not the whole gang, at present.
   bool waits_for_quota = false;
+  Ms waited_ms = 0;  // for how long it has needed machines without a break
+
+  // Whether the job makes no progress, or lacks replicas, for want of machines.
+  [[nodiscard]] bool needs_machines() const;
 };
 
 // What waiting jobs need before they make progress. Jobs with equal conditions share one entry.
@@ -38,6 +57,11 @@
   const wire::JobSpec* job = nullptr;  // states the conditions for machines
   std::string zone;                    // the only possible zone; empty: any
   std::uint64_t tasks = 0;             // that must have a machine at the same time
+  // The job has waited for long, so that only what is free on the machines counts, and for a
+  // service the places of its replicas.
+  bool crowded = false;
+  Ms waited_ms = 0;
+  std::map<std::string, std::uint64_t> replicas_by_zone;
 };
 
 // The requirements of all jobs of `demand` that wait for machines.
@@ -51,14 +75,16 @@
 
   explicit PlacementModel(const Catalog& catalog) : catalog_(catalog) {}
 
-  // Number of tasks that would have no machine if the given machines were empty.
+  // The machines as if they were empty.
+  [[nodiscard]] std::vector<MachineRoom> empty_machines(const MachineCounts& machines) const;
+  // Number of tasks that find no room.
   [[nodiscard]] double missing_tasks(const PlacementRequirement& requirement,
-                                     const MachineCounts& machines) const;
-  // The cheapest machines that add the missing tasks to the given machines. Empty if no task is
+                                     const std::vector<MachineRoom>& rooms) const;
+  // The cheapest machines that take the missing tasks. Empty if no task is
   // missing, or if the kinds that are available don't suffice; a service gets machines for a part
   // of its missing replicas.
   [[nodiscard]] MachineCounts machines_to_add(const PlacementRequirement& requirement,
-                                              const MachineCounts& machines,
+                                              const std::vector<MachineRoom>& rooms,
                                               const IsAvailable& is_available) const;
 
  private:
@@ -72,13 +98,12 @@
   // Number of tasks of the job that an empty machine of this kind can take; 0 if it may not run
   // there.
   [[nodiscard]] double tasks_per_machine(const wire::JobSpec& job, const MachineKind& kind) const;
-  [[nodiscard]] TaskRoom room_in(const PlacementRequirement& requirement, const Zones& zones,
-                                 const MachineCounts& machines) const;
-  [[nodiscard]] std::vector<MachineKind> kinds_by_price(const wire::JobSpec& job,
-                                                        const Zones& zones,
-                                                        const MachineCounts& machines) const;
+  [[nodiscard]] static TaskRoom room_in(const PlacementRequirement& requirement, const Zones& zones,
+                                        const std::vector<MachineRoom>& rooms);
+  [[nodiscard]] std::vector<MachineKind> kinds_by_price(
+      const wire::JobSpec& job, const Zones& zones, const std::vector<MachineRoom>& rooms) const;
   [[nodiscard]] Addition addition_in(const PlacementRequirement& requirement, const Zones& zones,
-                                     const MachineCounts& machines,
+                                     const std::vector<MachineRoom>& rooms,
                                      const IsAvailable& is_available) const;
 
   const Catalog& catalog_;
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -68,8 +68,9 @@
     put(wire::job_key(job.spec.id), encode(job));
   }
 
-  // Adds an array job whose tasks each fill one machine and run for ten minutes.
-  void add_job(std::uint32_t tasks) {
+  // Adds an array job whose tasks each fill one machine and run for ten minutes. `zone`: the only
+  // allowed one, if not empty.
+  void add_job(std::uint32_t tasks, const std::string& zone = "") {
     const std::string body =
         R"({"id":"req-000001","queue":"c","crew":"t","shape":"batch","rank":"standard","loads":)" +
         std::to_string(tasks) +
@@ -79,6 +80,7 @@
     ASSERT_TRUE(spec) << spec.error().text();
     wire::JobRecord job;
     job.spec = *spec;
+    job.spec.zone = zone;
     job.initial_ranges = {{0, 0, tasks, kControllerName}};
     put(wire::job_key(job.spec.id), encode(job));
   }
@@ -240,6 +242,29 @@
   for (const auto& id : returned_) EXPECT_GE(id, "n-1200") << "a machine of zone a";
 }
 
+// Guards against a job that waits for good because replicas of a service, which don't end, fill the
+// machines of its zone.
+TEST_F(FleetCoordinatorTest, AMachineIsRequestedForAJobThatWaitsBesideFullMachines) {
+  cloud_.zones = {"a", "b"};
+  add_machines_in("a", 1, 100, 6);
+  add_machines_in("b", 2, 200, 13);
+  add_job_of("daemon", 6, false, false);
+  wire::RangeRecord range;
+  range.owner = kControllerName;
+  range.end = 6;
+  range.done.assign(6, false);
+  for (std::uint32_t replica = 0; replica < 6; ++replica)
+    range.placed[replica] = {1, "n-" + std::to_string(1100 + replica), 1, kControllerName};
+  put(wire::range_key("req-000002", 0), encode(range));
+  add_job(1, "a");
+  advance(kCrowdedWaitMs - 5000);
+  EXPECT_TRUE(scale_outs_.empty());
+  advance(15'000);
+  ASSERT_FALSE(scale_outs_.empty());
+  EXPECT_NE(scale_outs_.front().find(R"("yard":"a")"), std::string::npos) << scale_outs_.front();
+  EXPECT_NE(scale_outs_.front().find(R"("number":1)"), std::string::npos) << scale_outs_.front();
+}
+
 TEST_F(FleetCoordinatorTest, UnexpectedMachinesAreAdoptedAndFailedOnesReturned) {
   cloud_.machines = {{"n-700", "running"}, {"n-701", "failed"}};
   advance(3000);
--- a/tests/waiting_work_test.cpp
+++ b/tests/waiting_work_test.cpp
@@ -45,7 +45,7 @@
   // The number of machines to request for these jobs now, by kind.
   [[nodiscard]] MachineCounts requested(const std::vector<Demand>& demand, Ms now = 0) const {
     MachineCounts out;
-    for (const auto& request : sizer_.next_scale_out(now, demand, catalog_, held_))
+    for (const auto& request : sizer_.next_scale_out(now, demand, catalog_, held_, rooms_))
       out[{request.type, request.zone, request.spot}] += static_cast<int>(request.count);
     return out;
   }
@@ -89,6 +89,25 @@
   FleetSizer sizer_{settings_};
   std::vector<wire::MachineType> catalog_{machine_type("box", 0.5)};
   MachineCounts held_;
+  std::vector<MachineRoom> rooms_;  // what is free on the held machines
+};
+
+// Jobs that have waited so long that only what is free on the machines counts.
+class CrowdedFleetTest : public WaitingWorkTest {
+ protected:
+  // Adds machines in a zone: some are full of other work, the others empty.
+  void add_machines(const std::string& zone, int full, int empty) {
+    const MachineKind kind{"box", zone, false};
+    held_[kind] += full + empty;
+    if (full > 0) rooms_.push_back({kind, {1, 0, 2}, full});
+    if (empty > 0) rooms_.push_back({kind, {16, 0, 32}, empty});
+  }
+
+  static Demand waited(const wire::JobSpec& job, Ms waited_ms = kCrowdedWaitMs) {
+    Demand demand{&job, job.tasks};
+    demand.waited_ms = waited_ms;
+    return demand;
+  }
 };
 
 // Guards against a gang bound to one zone that waits forever because no zone alone has enough
@@ -153,7 +172,7 @@
   service.one_zone = true;
   Demand demand{&service, 4};
   demand.placed = 2;
-  demand.zone_in_use = "a";
+  demand.replicas_by_zone["a"] = 2;
   EXPECT_EQ(requested({demand}), (MachineCounts{{{"box", "a", false}, 2}}));
 }
 
@@ -190,7 +209,8 @@
             (MachineCounts{{{"box", "a", false}, 3}}));
   wire::JobSpec gang = service;
   gang.shape = wire::JobShape::gang;
-  EXPECT_TRUE(model.machines_to_add({&gang, "", 5}, {}, only_in_a).empty());
+  EXPECT_TRUE(
+      model.machines_to_add(waiting_requirements({{&gang, 5}}).front(), {}, only_in_a).empty());
 }
 
 TEST_F(WaitingWorkTest, SpreadGangGetsMachinesInTwoZones) {
@@ -322,5 +342,68 @@
   EXPECT_FALSE(FleetSizer::needed_by_waiting_work(in_a, {running}, catalog_, held_));
 }
 
+// Guards against a job that waits for good because all machines that it may use are full of work
+// that doesn't end, such as replicas of services.
+TEST_F(CrowdedFleetTest, JobBoundToAFullZoneGetsAMachineThere) {
+  add_machines("a", 3, 0);
+  add_machines("b", 0, 9);
+  wire::JobSpec array = job(wire::JobShape::array, 2);
+  array.zone = "a";
+  EXPECT_TRUE(requested({waited(array, kCrowdedWaitMs - 1)}).empty());
+  EXPECT_EQ(requested({waited(array)}), (MachineCounts{{{"box", "a", false}, 1}}));
+  // The machine is booting: it is empty, so that no other one is requested.
+  add_machines("a", 0, 1);
+  EXPECT_TRUE(requested({waited(array)}).empty());
+}
+
+TEST_F(CrowdedFleetTest, GangGetsTheMachinesThatAreNotFree) {
+  add_machines("a", 2, 4);
+  add_machines("b", 9, 3);
+  const wire::JobSpec gang = one_zone_gang(6);
+  EXPECT_EQ(requested({waited(gang)}), (MachineCounts{{{"box", "a", false}, 2}}));
+}
+
+TEST_F(CrowdedFleetTest, PlacedReplicasOfASpreadServiceCount) {
+  add_machines("a", 3, 0);
+  add_machines("b", 2, 8);
+  wire::JobSpec service = job(wire::JobShape::service, 4);
+  service.spread = true;
+  Demand demand = waited(service);
+  demand.placed = 2;
+  demand.replicas_by_zone["b"] = 2;
+  EXPECT_EQ(requested({demand}), (MachineCounts{{{"box", "c", false}, 2}}));
+  demand.placed = 3;
+  demand.replicas_by_zone["a"] = 1;
+  EXPECT_EQ(requested({demand}), (MachineCounts{{{"box", "c", false}, 1}}));
+}
+
+TEST_F(CrowdedFleetTest, FreeMachinesThatAGangNeedsAreKept) {
+  add_machines("a", 3, 3);
+  add_machines("b", 9, 2);
+  const wire::JobSpec gang = one_zone_gang(6);
+  const std::vector<Demand> demand{waited(gang)};
+  EXPECT_TRUE(
+      FleetSizer::needed_by_waiting_work({"box", "a", false}, demand, catalog_, held_, rooms_));
+  EXPECT_FALSE(
+      FleetSizer::needed_by_waiting_work({"box", "b", false}, demand, catalog_, held_, rooms_));
+}
+
+// The cost of a decision must not grow with jobs times machines.
+TEST_F(CrowdedFleetTest, OnlyTheLongestWaitsAreTriedOnEachMachine) {
+  std::vector<wire::JobSpec> jobs(40, job(wire::JobShape::array, 1));
+  std::vector<Demand> demand;
+  for (std::size_t i = 0; i < jobs.size(); ++i) {
+    jobs[i].memory_gb = 1.0 + static_cast<double>(i) / 4;
+    demand.push_back(waited(jobs[i], kCrowdedWaitMs + static_cast<Ms>(i)));
+  }
+  std::size_t crowded = 0;
+  for (const auto& requirement : waiting_requirements(demand)) {
+    if (!requirement.crowded) continue;
+    ++crowded;
+    EXPECT_GE(requirement.waited_ms, kCrowdedWaitMs + 24);
+  }
+  EXPECT_EQ(crowded, kMaxCrowdedRequirements);
+}
+
 }  // namespace
 }  // namespace scheduler
