Rented machines are recorded before other changes of the fleet

Cause: machines are requested once those of the last requests are recorded, and changes were written in the order of the machines' names. New names come last, after hundreds of machines that are gone.

Change: machines of answered requests are written first.

Test: RentedMachinesAreRecordedBeforeOtherChanges failed before.

--- a/src/fleet/fleet_record_writer.cpp
+++ b/src/fleet/fleet_record_writer.cpp
@@ -105,31 +105,45 @@
   return group;
 }
 
-// Adds the queued changes to the batch, as far as they fit. New machines are assigned to groups
-// that have room.
+// Adds the queued changes to the batch, as far as they fit. Rented machines come first: no further
+// machines are requested before these are recorded, and after the loss of many machines the other
+// changes take minutes to write.
 void FleetRecordWriter::add_pending_changes(Batch& batch) const {
   std::uint32_t first_open_group = 0;  // all groups with lower numbers are full
-  for (const auto& [id, record] : pending_) {
-    std::optional<std::uint32_t> group = context_.replica.group_of(id);
-    if (!group && !record) {
-      batch.machines.insert(id);  // the record has been removed already
-      continue;
-    }
-    if (!group) {
-      first_open_group = group_with_room(batch, first_open_group);
-      group = first_open_group;
-    }
-    const bool in_batch = batch.groups.contains(*group);
-    if (!in_batch && batch.groups.size() >= context_.capacity.machine_groups_per_transaction)
-      continue;
-    wire::FleetRecord& target = batch_group(batch, *group);
-    if (record) {
-      target.machines[id] = *record;
-    } else {
-      target.machines.erase(id);
+  for (const auto& [name, machines] : settled_scale_outs_) {
+    for (const std::string& id : machines) {
+      const auto change = pending_.find(id);
+      if (change != pending_.end()) add_change(batch, id, change->second, first_open_group);
     }
-    batch.machines.insert(id);
   }
+  for (const auto& [id, record] : pending_) {
+    if (!batch.machines.contains(id)) add_change(batch, id, record, first_open_group);
+  }
+}
+
+// Adds one change to the batch if its group fits. A new machine is assigned to a group that has
+// room.
+void FleetRecordWriter::add_change(Batch& batch, const std::string& id,
+                                   const std::optional<wire::MachineRecord>& record,
+                                   std::uint32_t& first_open_group) const {
+  std::optional<std::uint32_t> group = context_.replica.group_of(id);
+  if (!group && !record) {
+    batch.machines.insert(id);  // the record has been removed already
+    return;
+  }
+  if (!group) {
+    first_open_group = group_with_room(batch, first_open_group);
+    group = first_open_group;
+  }
+  const bool in_batch = batch.groups.contains(*group);
+  if (!in_batch && batch.groups.size() >= context_.capacity.machine_groups_per_transaction) return;
+  wire::FleetRecord& target = batch_group(batch, *group);
+  if (record) {
+    target.machines[id] = *record;
+  } else {
+    target.machines.erase(id);
+  }
+  batch.machines.insert(id);
 }
 
 // The transaction that writes the batch and removes the records of those scale-out requests whose
--- a/src/fleet/fleet_record_writer.h
+++ b/src/fleet/fleet_record_writer.h
@@ -51,6 +51,9 @@
   [[nodiscard]] std::size_t machines_per_group() const;
   bool split_large_group();
   void add_pending_changes(Batch& batch) const;
+  void add_change(Batch& batch, const std::string& id,
+                  const std::optional<wire::MachineRecord>& record,
+                  std::uint32_t& first_open_group) const;
   [[nodiscard]] std::uint32_t group_with_room(const Batch& batch, std::uint32_t first) const;
   wire::FleetRecord& batch_group(Batch& batch, std::uint32_t group) const;
   Transaction make_transaction(Batch& batch) const;
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -318,5 +318,27 @@
   EXPECT_EQ(state_.oversized_txns, 0);
 }
 
+// Guards against a fleet that isn't enlarged for minutes after the loss of many machines, because
+// no machine is requested before the ones rented last are recorded.
+TEST_F(FleetCoordinatorTest, RentedMachinesAreRecordedBeforeOtherChanges) {
+  settings_.value_kb = 1;
+  FleetRecordWriter writer(context_, [](const std::vector<std::string>&) {});
+  wire::MachineRecord record;
+  record.type = "g";
+  record.zone = "a";
+  for (int i = 0; i < 400; ++i)
+    writer.set_state("n-" + std::to_string(1000 + i), record, MachineState::terminated);
+  const std::set<std::string> rented{"n-9000", "n-9001"};
+  for (const auto& id : rented) writer.set_state(id, record, MachineState::ready);
+  writer.settle_scale_out("r", rented);
+  put(wire::scale_out_key("r"), encode(wire::ScaleOutRequest{"", "g", "a", false, 2}));
+  run(1000, [&](Ms now) {
+    if (!replica_.machine("n-9000")) writer.write(now);
+  });
+  EXPECT_TRUE(replica_.machine("n-9001"));
+  EXPECT_FALSE(state_.items.contains(wire::scale_out_key("r")));
+  EXPECT_FALSE(replica_.machine("n-1399"));
+}
+
 }  // namespace
 }  // namespace scheduler
