Arrays with a zone condition try their own shard's machines first

Cause: they drew from the machines of all shards alike, and a placement on another shard's machine voids what its owner is writing.

--- a/src/scheduling/array_placement.cpp
+++ b/src/scheduling/array_placement.cpp
@@ -85,9 +85,18 @@
 int ArrayPlacement::pick_in_zones(SchedulingPass& pass, const wire::JobSpec& spec,
                                   const std::vector<int>& eligible,
                                   const std::set<std::string>& zones) {
-  std::vector<int> in_zones = eligible;
-  std::erase_if(in_zones, [&](int index) { return !zones.contains(pass.candidate(index).zone); });
-  return pick_of_two(pass.now, pass.candidates, spec, in_zones, random_);
+  // Machines of this controller's shard come first: a placement on another shard's machine makes
+  // concurrent placements by that shard's owner fail.
+  for (const bool local : {true, false}) {
+    std::vector<int> in_zones;
+    std::copy_if(eligible.begin(), eligible.end(), std::back_inserter(in_zones), [&](int index) {
+      const Candidate& candidate = pass.candidate(index);
+      return candidate.local == local && zones.contains(candidate.zone);
+    });
+    const int machine = pick_of_two(pass.now, pass.candidates, spec, in_zones, random_);
+    if (machine >= 0) return machine;
+  }
+  return -1;
 }
 
 int ArrayPlacement::pick_machine(SchedulingPass& pass, const Job& job,
--- a/tests/sim/fake_state_service.h
+++ b/tests/sim/fake_state_service.h
@@ -55,6 +55,7 @@
   StateLimits limits;
   int oversized_txns = 0;  // transactions refused with 400 because of their size
   int throttled_txns = 0;  // transactions refused with 429 because of the write rate
+  int failed_txns = 0;     // transactions answered 409 because a condition failed
   struct Item {
     std::string value;
     std::uint64_t version = 0;
@@ -190,6 +191,7 @@
       JsonObjectBuilder p;
       p.raw("failed", "[" + failed + "]");
       p.num("ledger", revision);
+      ++failed_txns;
       return respond(409, p.done());
     }
     for (const auto& w : doc["writes"].GetArray())
--- a/tests/sim/result.h
+++ b/tests/sim/result.h
@@ -51,6 +51,7 @@
   int views = 0;                           // versions of the cluster view
   int oversized_txns = 0;                  // transactions refused because of their size
   int throttled_txns = 0;                  // transactions refused because of the write rate limit
+  int failed_txns = 0;                     // transactions of which a condition failed
   int peak_requests = 0, peak_writes = 0;  // most requests and writes in one second
   int compacted_watches = 0;  // watches that got the reply 410, so that the controller reloads
   int late_txns_applied = 0;  // delayed transactions that succeeded
--- a/tests/sim/simulated_cluster.cpp
+++ b/tests/sim/simulated_cluster.cpp
@@ -244,6 +244,7 @@
                     [](const FakeStateService::Change& c) { return c.key == wire::kViewKey; }));
   result_.oversized_txns = state_->oversized_txns;
   result_.throttled_txns = state_->throttled_txns;
+  result_.failed_txns = state_->failed_txns;
   result_.compacted_watches = state_->compacted_watches;
   result_.peak_requests = state_->peak_requests;
   result_.peak_writes = state_->peak_writes;
